--- /dev/null
+++ b/crates/ragwortlb-cli/src/commands.rs
@@ -0,0 +1,273 @@
+//! What each command does.
+
+use std::{
+    path::Path,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use eyre::{Result, WrapErr, eyre};
+use ragwortlb::config::{Config, Faults, Folder, document::Value, merge::Item, revision::Digest};
+use ragwortlb_rpc::store::{
+    accept::{self, Accepted},
+    fetch,
+    http::Http,
+};
+use serde::Serialize;
+use similar::{ChangeTag, TextDiff};
+
+use crate::{
+    folder,
+    report::{self, Accept, Check, Difference, Explanation, Instance, Status},
+};
+
+/// Time in which an instance must answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Lines of unchanged text around a change.
+const CONTEXT_LINES: usize = 3;
+
+fn print_json(value: &impl Serialize) -> Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
+
+fn checked(folder: &Folder) -> Result<Config> {
+    folder.check().map_err(|faults| eyre!("{faults}"))
+}
+
+/// Checks a folder.
+pub fn check(dir: &Path, json: bool) -> Result<()> {
+    let folder = folder::read(dir)?;
+    let result: std::result::Result<Config, Faults> = folder.check();
+    if json {
+        let report = match &result {
+            Ok(config) => Check { ok: true, services: config.services.len(), faults: Vec::new() },
+            Err(faults) => Check::from(faults),
+        };
+        print_json(&report)?;
+    }
+    let config = result.map_err(|faults| eyre!("{faults}"))?;
+    if !json {
+        let targets: usize = config.services.values().map(|service| service.targets.len()).sum();
+        println!("in order: {} services, {targets} targets", config.services.len());
+    }
+    Ok(())
+}
+
+/// Prints the merged configuration.
+pub fn merge(dir: &Path) -> Result<()> {
+    println!("{}", checked(&folder::read(dir)?)?.to_json());
+    Ok(())
+}
+
+/// Says where a value comes from.
+pub fn explain(dir: &Path, path: &str, json: bool) -> Result<()> {
+    let merged = folder::read(dir)?.merge().map_err(|faults| eyre!("{faults}"))?;
+    let leaf = match merged.find(path) {
+        Some(Item::Leaf(leaf)) => leaf,
+        Some(Item::Branch(branch)) => {
+            let keys: Vec<&str> = branch.entries.keys().map(|key| &**key).collect();
+            return Err(eyre!("{path} is a map with the keys {}", keys.join(", ")));
+        }
+        None => return Err(eyre!("no document sets {path}; it may have a default, see `ragwortlb merge`")),
+    };
+    let explanation = Explanation {
+        path: path.to_owned(),
+        value: show(&leaf.value),
+        set: report::place(&leaf.position),
+        replaced: leaf.replaced.iter().map(report::place).collect(),
+    };
+    if json {
+        return print_json(&explanation);
+    }
+    println!("{} = {}", explanation.path, explanation.value);
+    println!("set at {}", explanation.set);
+    for place in explanation.replaced.iter().rev() {
+        println!("replaced {place}");
+    }
+    Ok(())
+}
+
+fn show(value: &Value) -> String {
+    match value {
+        Value::Bool(flag) => flag.to_string(),
+        Value::Number(text) => text.to_string(),
+        Value::String(text) => format!("{text:?}"),
+        Value::Null | Value::List(_) | Value::Map(_) => value.kind().to_owned(),
+    }
+}
+
+/// Shows what accepting a folder would change.
+pub async fn diff(store: &str, dir: &Path, json: bool) -> Result<()> {
+    let config = checked(&folder::read(dir)?)?;
+    let store = Http::new(store)?;
+    let (revision, accepted) = accepted_config(&store).await?;
+    let difference = difference(revision, &accepted, &config.to_json());
+    if json {
+        return print_json(&difference);
+    }
+    if !difference.changed {
+        println!("no difference to revision {revision}");
+    }
+    for line in &difference.lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+/// Canonical JSON of the accepted revision; empty if there is none.
+async fn accepted_config(store: &Http) -> Result<(u64, String)> {
+    let Some(stored) = fetch::head(store).await? else {
+        return Ok((0, String::new()));
+    };
+    let revision = stored.head.revision;
+    let bundle = fetch::bundle(store, stored.head, |_| None).await?;
+    Ok((revision, checked(&bundle.folder)?.to_json()))
+}
+
+fn difference(revision: u64, accepted: &str, proposed: &str) -> Difference {
+    let diff = TextDiff::from_lines(accepted, proposed);
+    let mut lines = Vec::new();
+    for group in diff.grouped_ops(CONTEXT_LINES) {
+        for change in group.iter().flat_map(|op| diff.iter_changes(op)) {
+            let sign = match change.tag() {
+                ChangeTag::Delete => '-',
+                ChangeTag::Insert => '+',
+                ChangeTag::Equal => ' ',
+            };
+            lines.push(format!("{sign}{}", change.value().trim_end()));
+        }
+    }
+    Difference { revision, changed: accepted != proposed, lines }
+}
+
+/// Accepts a folder as the next revision.
+pub async fn accept(store: &str, dir: &Path, change: Option<String>, json: bool) -> Result<()> {
+    let folder = folder::read(dir)?;
+    let config = checked(&folder)?;
+    let store = Http::new(store)?;
+    let parent = fetch::head(&store).await?;
+    let change = change.unwrap_or_else(|| fresh_change(&folder));
+    let accepted = accept::accept(&store, &folder, parent.as_ref(), &change)
+        .await
+        .wrap_err("it is not known whether the folder was accepted; run the same command again")?;
+    let (head, made) = match accepted {
+        Accepted::New(head) => (head, true),
+        Accepted::Unchanged(head) => (head, false),
+        Accepted::Lost(head) => return Err(lost(&store, head.revision, &config).await),
+    };
+    if json {
+        return print_json(&Accept { revision: head.revision, change: head.change.to_string(), made });
+    }
+    let verb = if made { "accepted as" } else { "unchanged, already" };
+    println!("{verb} revision {} (change {})", head.revision, head.change);
+    Ok(())
+}
+
+/// Says who came first, and how that differs.
+async fn lost(store: &Http, revision: u64, config: &Config) -> eyre::Report {
+    let mut message = format!(
+        "another accept came first: revision {revision} is accepted, this folder is not.\n\
+         Compare, agree, and accept again. The difference of this folder to it:"
+    );
+    match accepted_config(store).await {
+        Ok((revision, accepted)) => {
+            for line in difference(revision, &accepted, &config.to_json()).lines {
+                message.push('\n');
+                message.push_str(&line);
+            }
+        }
+        Err(error) => message.push_str(&format!("\n(cannot be shown: {error})")),
+    }
+    eyre!(message)
+}
+
+/// Identity of a new change: unlike any other, and short.
+fn fresh_change(folder: &Folder) -> String {
+    const DIGITS: usize = 16;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let names: Vec<&str> = folder.files().iter().map(|file| &*file.name).collect();
+    let seed = format!("{}-{}-{}", now.as_nanos(), std::process::id(), names.join("/"));
+    Digest::of(seed.as_bytes()).as_str()[..DIGITS].to_owned()
+}
+
+/// Shows the accepted revision, and what instances have in force.
+pub async fn status(store: &str, instances: &[String], json: bool) -> Result<()> {
+    let mut status = Status::default();
+    match fetch::head(&Http::new(store)?).await {
+        Ok(Some(stored)) => {
+            status.revision = Some(stored.head.revision);
+            status.digest = Some(stored.head.digest.to_string());
+        }
+        Ok(None) => {}
+        Err(error) => status.store_error = Some(error.to_string()),
+    }
+    let client = reqwest::Client::builder().no_proxy().timeout(TIMEOUT).build()?;
+    for address in instances {
+        status.instances.push(instance(&client, address).await);
+    }
+    if json {
+        print_json(&status)?
+    } else {
+        print_status(&status)
+    }
+    let failed = status.store_error.is_some() || status.instances.iter().any(|i| i.error.is_some());
+    if failed { Err(eyre!("not all could be reached")) } else { Ok(()) }
+}
+
+async fn instance(client: &reqwest::Client, address: &str) -> Instance {
+    let answer = client.get(format!("http://{address}/v1/status")).send().await;
+    let state = match answer.and_then(reqwest::Response::error_for_status) {
+        Ok(answer) => answer.json().await,
+        Err(error) => Err(error),
+    };
+    match state {
+        Ok(state) => Instance { address: address.to_owned(), state: Some(state), error: None },
+        Err(error) => Instance { address: address.to_owned(), state: None, error: Some(error.to_string()) },
+    }
+}
+
+fn print_status(status: &Status) {
+    match (&status.revision, &status.store_error) {
+        (_, Some(error)) => println!("store: {error}"),
+        (Some(revision), None) => {
+            println!("accepted: revision {revision}, digest {}", status.digest.as_deref().unwrap_or("-"));
+        }
+        (None, None) => println!("accepted: none"),
+    }
+    for instance in &status.instances {
+        match (&instance.state, &instance.error) {
+            (Some(state), _) => print_instance(&instance.address, state, status.revision),
+            (None, error) => println!("{}: {}", instance.address, error.as_deref().unwrap_or("-")),
+        }
+    }
+}
+
+fn print_instance(address: &str, state: &serde_json::Value, accepted: Option<u64>) {
+    let number = |key: &str| state[key].as_u64().unwrap_or_default();
+    let effective = number("effective_revision");
+    let note = match accepted {
+        Some(accepted) if effective < accepted => " (behind)",
+        Some(accepted) if effective > accepted => " (ahead of the store, which may have been restored)",
+        _ => "",
+    };
+    let refused = state["detail"]["counts"]["refused_revisions"].as_u64().unwrap_or_default();
+    let name = state["name"].as_str().unwrap_or("-");
+    let zone = state["zone"].as_str().unwrap_or("-");
+    let settled = if state["settled"].as_bool().unwrap_or_default() { "settled" } else { "changing" };
+    println!("{address}: {name} in {zone}, revision {effective}{note}, {settled}, refused {refused}");
+}
+
+/// Stops an instance gracefully.
+pub async fn drain(address: &str, json: bool) -> Result<()> {
+    let client = reqwest::Client::builder().no_proxy().timeout(TIMEOUT).build()?;
+    let answer = client.post(format!("http://{address}/v1/drain")).send().await;
+    answer
+        .and_then(reqwest::Response::error_for_status)
+        .wrap_err_with(|| format!("cannot drain {address}"))?;
+    if json {
+        return print_json(&serde_json::json!({"instance": address, "draining": true}));
+    }
+    println!("{address} drains");
+    Ok(())
+}
--- /dev/null
+++ b/crates/ragwortlb-cli/src/main.rs
@@ -0,0 +1,46 @@
+//! The command-line tool `ragwortlb`.
+
+mod commands;
+mod folder;
+mod options;
+mod report;
+
+use std::process::ExitCode;
+
+use options::Command;
+
+/// Exit code for work that was refused or failed.
+const REFUSED: u8 = 1;
+
+/// Exit code for a wrong command line.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = match options::command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => {
+            failure.print_message(options::WIDTH);
+            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { USAGE });
+        }
+    };
+    match run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run(command: Command) -> eyre::Result<()> {
+    match command {
+        Command::Check { json, dir } => commands::check(&dir, json),
+        Command::Merge { dir } => commands::merge(&dir),
+        Command::Explain { json, dir, path } => commands::explain(&dir, &path, json),
+        Command::Diff { store, json, dir } => commands::diff(&store, &dir, json).await,
+        Command::Accept { store, json, change, dir } => commands::accept(&store, &dir, change, json).await,
+        Command::Status { store, json, instances } => commands::status(&store, &instances, json).await,
+        Command::Drain { json, instance } => commands::drain(&instance, json).await,
+    }
+}
--- /dev/null
+++ b/crates/ragwortlb-cli/src/options.rs
@@ -0,0 +1,95 @@
+//! Commands and their options.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Width of help texts.
+pub const WIDTH: usize = 100;
+
+/// URL of the store if none is given.
+const STORE: &str = "http://127.0.0.1:7500";
+
+/// What the tool is to do.
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+#[bpaf(options, version)]
+/// Checks, compares and accepts configurations, and looks at instances
+pub enum Command {
+    /// Check a folder of documents
+    #[bpaf(command)]
+    Check {
+        /// Print JSON
+        json: bool,
+        /// Folder of documents
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Print the merged configuration as canonical JSON
+    #[bpaf(command)]
+    Merge {
+        /// Folder of documents
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Say where a value comes from
+    #[bpaf(command)]
+    Explain {
+        /// Print JSON
+        json: bool,
+        /// Folder of documents
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+        /// Dotted path of the value, such as services.booking.address
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Show what accepting a folder would change
+    #[bpaf(command)]
+    Diff {
+        /// URL of the platform's store
+        #[bpaf(argument("URL"), env("RAGWORTLB_STORE"), fallback(STORE.to_owned()))]
+        store: String,
+        /// Print JSON
+        json: bool,
+        /// Folder of documents
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Accept a folder as the next revision
+    #[bpaf(command)]
+    Accept {
+        /// URL of the platform's store
+        #[bpaf(argument("URL"), env("RAGWORTLB_STORE"), fallback(STORE.to_owned()))]
+        store: String,
+        /// Print JSON
+        json: bool,
+        /// Identity of the change; give the same one to repeat an accept
+        #[bpaf(argument("ID"), optional)]
+        change: Option<String>,
+        /// Folder of documents
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Show the accepted revision and what is in force
+    #[bpaf(command)]
+    Status {
+        /// URL of the platform's store
+        #[bpaf(argument("URL"), env("RAGWORTLB_STORE"), fallback(STORE.to_owned()))]
+        store: String,
+        /// Print JSON
+        json: bool,
+        /// Operators' addresses of instances
+        #[bpaf(positional("INSTANCE"))]
+        instances: Vec<String>,
+    },
+    /// Stop an instance gracefully
+    #[bpaf(command)]
+    Drain {
+        /// Print JSON
+        json: bool,
+        /// Operators' address of the instance
+        #[bpaf(positional("INSTANCE"))]
+        instance: String,
+    },
+}
--- /dev/null
+++ b/crates/ragwortlb-rpc/src/link.rs
@@ -0,0 +1,19 @@
+/*!
+The border between an instance and its peers.
+
+[`Link`] takes messages for an address and never blocks; what a peer does not
+take in time is dropped, as every message between instances may be lost.
+*/
+
+use std::net::SocketAddr;
+
+use ragwortlb::wire::Message;
+
+/// Way to the peers.
+pub trait Link: Send + Sync {
+    /// Sends a message, or drops it.
+    fn send(&self, to: SocketAddr, message: Message);
+
+    /// Bytes sent since the start.
+    fn sent_bytes(&self) -> u64;
+}
--- /dev/null
+++ b/crates/ragwortlb-standin/src/fleet.rs
@@ -0,0 +1,289 @@
+/*!
+The whole system as separate processes: store, targets and daemons, each started
+from this program. Only processes that a fleet started are ever signalled.
+*/
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use ragwortlb::{Error, config::Folder};
+use ragwortlb_rpc::store::{
+    accept::{self, Accepted},
+    fetch,
+    http::Http,
+};
+
+use crate::{
+    control::{self, Order, Sight},
+    fabric::Fabric,
+    ports,
+    site::Site,
+};
+
+/// Longest wait for a process to start.
+const START: Duration = Duration::from_secs(20);
+
+/// Daemon as a process.
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for callers.
+    pub call: SocketAddr,
+    /// Address for peers.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    process: Child,
+}
+
+/// Store, targets and daemons.
+pub struct Fleet {
+    program: PathBuf,
+    folder: PathBuf,
+    store: Option<Child>,
+    targets: Option<Child>,
+    /// URL of the store.
+    pub store_url: String,
+    control: SocketAddr,
+    /// Daemons.
+    pub instances: Vec<Instance>,
+    /// Fabric before the daemons.
+    pub fabric: Fabric,
+    started: usize,
+    peers: Vec<SocketAddr>,
+    /// Further settings of each daemon, as JSON members.
+    pub extra: String,
+}
+
+fn fail(step: &'static str) -> impl Fn(std::io::Error) -> Error {
+    move |error| Error::new(step, error.to_string())
+}
+
+impl Fleet {
+    /// Fleet that starts `program`, a build of the stand-ins, and keeps its files in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// A process cannot be started.
+    pub fn new(program: &Path, folder: &Path) -> Result<Fleet, Error> {
+        const STEP: &str = "start the store";
+        fs::create_dir_all(folder).map_err(fail(STEP))?;
+        let addresses = ports::free(2).map_err(fail(STEP))?;
+        let store = Command::new(program)
+            .args(["store", &addresses[0].to_string()])
+            .stdin(Stdio::null())
+            .spawn()
+            .map_err(fail(STEP))?;
+        Ok(Fleet {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            store: Some(store),
+            targets: None,
+            store_url: format!("http://{}", addresses[0]),
+            control: addresses[1],
+            instances: Vec::new(),
+            fabric: Fabric::default(),
+            started: 0,
+            peers: Vec::new(),
+            extra: String::new(),
+        })
+    }
+
+    /// Starts the targets of a site, in one process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn start_targets(&mut self, site: &Site) -> Result<(), Error> {
+        const STEP: &str = "start the targets";
+        let mut command = Command::new(&self.program);
+        command.args(["targets", "--control", &self.control.to_string(), "--slots", &site.slots.to_string()]);
+        for target in &site.targets {
+            let service = site.services.iter().find(|service| service.name == target.service);
+            let address = service.map(|service| service.address.to_string()).unwrap_or_default();
+            command.arg(format!("{},{address},{},{}", target.service, target.name, target.address));
+        }
+        self.targets = Some(command.stdin(Stdio::null()).spawn().map_err(fail(STEP))?);
+        Ok(())
+    }
+
+    /// Starts a daemon in an availability zone. Returns its index.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn start_instance(&mut self, zone: &str) -> Result<usize, Error> {
+        const STEP: &str = "start a daemon";
+        let addresses = ports::free(3).map_err(fail(STEP))?;
+        let (call, peer, operators) = (addresses[0], addresses[1], addresses[2]);
+        let name = format!("{zone}-{}", self.started);
+        self.started += 1;
+        let peers: Vec<String> = self.peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        let settings = format!(
+            "{{\"name\": \"{name}\", \"zone\": \"{zone}\", \"call_address\": \"{call}\",\n\
+             \"peer_address\": \"{peer}\", \"operator_address\": \"{operators}\",\n\
+             \"store\": \"{}\", \"peers\": [{}]{}}}\n",
+            self.store_url,
+            peers.join(", "),
+            self.extra
+        );
+        let path = self.folder.join(format!("{name}.jsonc"));
+        fs::write(&path, settings).map_err(fail(STEP))?;
+        let log = fs::File::create(self.folder.join(format!("{name}.log"))).map_err(fail(STEP))?;
+        let process = Command::new(&self.program)
+            .arg("daemon")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(fail(STEP))?;
+        self.peers.push(peer);
+        self.fabric.add(call, operators);
+        let instance = Instance { name, zone: zone.to_owned(), call, peer, operators, process };
+        self.instances.push(instance);
+        Ok(self.instances.len() - 1)
+    }
+
+    /// Waits until all daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// They are not ready in time.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        let count = self.instances.len();
+        if self.fabric.wait_ready(count, START).await {
+            return Ok(());
+        }
+        let ready = self.fabric.ready();
+        Err(Error::new("wait for the daemons", format!("{ready} of {count} are ready")))
+    }
+
+    /// Client of the store.
+    ///
+    /// # Errors
+    ///
+    /// No client can be made.
+    pub fn store(&self) -> Result<Http, Error> {
+        Http::new(&self.store_url)
+    }
+
+    /// Accepts a folder, waiting for the store to start.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or another accept came first.
+    pub async fn accept(&self, folder: &Folder, change: &str) -> Result<u64, Error> {
+        let store = self.store()?;
+        let parent = self.head(&store).await?;
+        match accept::accept(&store, folder, parent.as_ref(), change).await? {
+            Accepted::New(head) | Accepted::Unchanged(head) => Ok(head.revision),
+            Accepted::Lost(head) => {
+                Err(Error::new("accept a folder", format!("revision {} came first", head.revision)))
+            }
+        }
+    }
+
+    async fn head(&self, store: &Http) -> Result<Option<fetch::Stored>, Error> {
+        const PAUSE: Duration = Duration::from_millis(50);
+        let until = tokio::time::Instant::now() + START;
+        loop {
+            match fetch::head(store).await {
+                Ok(head) => return Ok(head),
+                Err(error) if tokio::time::Instant::now() >= until => return Err(error),
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    /// Sends a signal to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// The signal cannot be sent.
+    pub fn signal(&self, index: usize, signal: &str) -> Result<(), Error> {
+        const STEP: &str = "signal a daemon";
+        let id = self.instances[index].process.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &id]).status().map_err(fail(STEP))?;
+        if status.success() { Ok(()) } else { Err(Error::new(STEP, format!("kill ended with {status}"))) }
+    }
+
+    /// Kills a daemon at once.
+    pub fn kill(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        let _ = instance.process.kill();
+        let _ = instance.process.wait();
+    }
+
+    /// Waits until a daemon that was told to stop has ended. Returns whether it did.
+    pub async fn wait_end(&mut self, index: usize, limit: Duration) -> bool {
+        let until = tokio::time::Instant::now() + limit;
+        loop {
+            if matches!(self.instances[index].process.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            if tokio::time::Instant::now() >= until {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Takes a daemon that has ended off the fleet.
+    pub fn remove(&mut self, index: usize) {
+        let mut instance = self.instances.remove(index);
+        let _ = instance.process.kill();
+        let _ = instance.process.wait();
+        self.fabric.remove(instance.call);
+        self.peers.retain(|peer| *peer != instance.peer);
+    }
+
+    /// State of a daemon.
+    ///
+    /// # Errors
+    ///
+    /// It did not answer.
+    pub async fn status(&self, index: usize) -> Result<ragwortlbd::operators::State, Error> {
+        let operators = self.instances[index].operators;
+        let fail = |error: reqwest::Error| Error::new("read the status", error.to_string());
+        let client =
+            reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(1)).build().map_err(fail)?;
+        let answer = client.get(format!("http://{operators}/v1/status")).send().await.map_err(fail)?;
+        answer.json().await.map_err(fail)
+    }
+
+    /// What the targets have seen, by name.
+    ///
+    /// # Errors
+    ///
+    /// They did not answer.
+    pub async fn sights(&self) -> Result<BTreeMap<String, Sight>, Error> {
+        control::sights(self.control).await
+    }
+
+    /// Gives a target an order.
+    ///
+    /// # Errors
+    ///
+    /// It did not answer.
+    pub async fn order(&self, target: &str, order: &Order) -> Result<(), Error> {
+        control::order(self.control, target, order).await
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let daemons = self.instances.iter_mut().map(|instance| &mut instance.process);
+        for process in daemons.chain(&mut self.store).chain(&mut self.targets) {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortlb-standin/src/lib.rs
@@ -0,0 +1,15 @@
+/*!
+Small stand-ins for what surrounds the system: the platform's store, targets, and
+the fabric with its callers. They serve tests, the demo and measurements, and are
+not shipped.
+*/
+
+pub mod callers;
+pub mod control;
+pub mod fabric;
+pub mod fleet;
+pub mod ports;
+pub mod site;
+pub mod store;
+pub mod target;
+pub mod traces;
--- /dev/null
+++ b/crates/ragwortlbd/src/daemon.rs
@@ -0,0 +1,139 @@
+//! Starts and stops the parts of one daemon.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use ragwortlb::{
+    Error,
+    node::{self, Event, Node},
+};
+use ragwortlb_rpc::store::{Store, http::Http};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tonic::{
+    service::Routes,
+    transport::{Server, server::TcpIncoming},
+};
+
+use crate::{core::Core, links::Links, operators, plane, reader, runner::Targets, settings::Settings};
+
+/// Time for connections to close once all requests are answered.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Running daemon.
+pub struct Daemon {
+    core: Arc<Core>,
+    close: watch::Sender<bool>,
+    servers: Vec<JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
+    operators: dropshot::HttpServer<operators::Context>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// One of its addresses cannot be bound, or a client cannot be made.
+    pub async fn start(settings: &Settings) -> Result<Daemon, Error> {
+        let store: Arc<dyn Store> = Arc::new(Http::new(&settings.store)?);
+        let links = Arc::new(Links::new(settings.name.clone(), settings.control_bytes_per_s));
+        let node = Node::new(node_settings(settings));
+        let core = Core::new(node, links, Box::new(Targets::default()));
+        let close = watch::Sender::new(false);
+        let calls = Routes::new(plane::Calls::server(core.clone()));
+        let peers = Routes::new(plane::Peers::server(core.clone()));
+        let servers = vec![
+            serve(settings.call_address, calls, close.subscribe()).await?,
+            serve(settings.peer_address, peers, close.subscribe()).await?,
+        ];
+        let operators = operators::serve(core.clone(), settings.operator_address)?;
+        let tasks = vec![
+            tokio::spawn(tick(core.clone(), Duration::from_millis(settings.tick_ms))),
+            tokio::spawn(reader::follow(core.clone(), store, Duration::from_millis(settings.poll_ms))),
+        ];
+        Ok(Daemon { core, close, servers, tasks, operators })
+    }
+
+    /// Node and surroundings.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Stops gracefully: hands over, answers every request inside, closes.
+    ///
+    /// # Errors
+    ///
+    /// The operators' HTTP did not close.
+    pub async fn stop(self) -> Result<(), Error> {
+        self.core.handle(Event::Drain);
+        self.finish().await
+    }
+
+    /// Waits until the node has handed over, then closes.
+    ///
+    /// # Errors
+    ///
+    /// The operators' HTTP did not close.
+    pub async fn finish(self) -> Result<(), Error> {
+        self.core.stopped().await;
+        self.close.send_replace(true);
+        for server in self.servers {
+            let _ = tokio::time::timeout(CLOSE_TIMEOUT, server).await;
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        self.operators.close().await.map_err(|error| Error::new("close the operators' HTTP", error))
+    }
+}
+
+fn node_settings(settings: &Settings) -> node::Settings {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    node::Settings {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peer_address,
+        peers: settings.peers.clone(),
+        incarnation: since_epoch.as_millis() as u64,
+        seed: since_epoch.as_nanos() as u64,
+        max_flows: settings.max_flows,
+        max_requests: settings.max_requests,
+        ask_ms: settings.ask_ms,
+        leave_ms: settings.leave_ms,
+        hand_over_ms: settings.hand_over_ms,
+        ..node::Settings::default()
+    }
+}
+
+async fn tick(core: Arc<Core>, time: Duration) {
+    let mut interval = tokio::time::interval(time);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        core.handle(Event::Tick);
+    }
+}
+
+async fn serve(
+    address: SocketAddr,
+    routes: Routes,
+    mut close: watch::Receiver<bool>,
+) -> Result<JoinHandle<()>, Error> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| Error::new("bind an address", error.to_string()).with_peer(address.to_string()))?;
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let closed = async move {
+        let _ = close.wait_for(|close| *close).await;
+    };
+    Ok(tokio::spawn(async move {
+        let served =
+            Server::builder().add_routes(routes).serve_with_incoming_shutdown(incoming, closed).await;
+        if let Err(error) = served {
+            log::error!("E602 a server failed: {error}");
+        }
+    }))
+}
--- /dev/null
+++ b/crates/ragwortlbd/src/program.rs
@@ -0,0 +1,90 @@
+//! The program `ragwortlbd`: options, logs, signals.
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+use eyre::{Result, WrapErr, eyre};
+use ragwortlb::node::Event;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{daemon::Daemon, operators, settings::Settings, spans};
+
+/// Exit code for bad settings.
+const REFUSED: u8 = 1;
+
+/// An instance of the load balancer
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Check the settings and exit
+    check_settings: bool,
+    /// Print the OpenAPI document of the operators' HTTP and exit
+    openapi: bool,
+    /// Settings, a file of JSON with comments
+    #[bpaf(positional("SETTINGS"), optional)]
+    settings: Option<PathBuf>,
+}
+
+impl Options {
+    /// Options to serve with some settings.
+    pub fn serve(settings: PathBuf) -> Options {
+        Options { check_settings: false, openapi: false, settings: Some(settings) }
+    }
+}
+
+/// Runs the program and returns its exit code.
+pub fn main(options: Options) -> ExitCode {
+    env_logger::init_from_env(env_logger::Env::default().default_filter_or("info"));
+    match run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+fn run(options: Options) -> Result<()> {
+    if options.openapi {
+        print!("{}", operators::openapi()?);
+        return Ok(());
+    }
+    let path = options.settings.ok_or_else(|| eyre!("no settings file given; see --help"))?;
+    let settings = read_settings(&path)?;
+    if options.check_settings {
+        println!("{} is in order", path.display());
+        return Ok(());
+    }
+    serve(&settings)
+}
+
+fn read_settings(path: &PathBuf) -> Result<Settings> {
+    let bytes = fs::read(path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    Ok(Settings::parse(&path.display().to_string(), bytes)?)
+}
+
+#[tokio::main]
+async fn serve(settings: &Settings) -> Result<()> {
+    let traces = match &settings.traces {
+        Some(url) => Some(spans::export(url, &settings.name)?),
+        None => None,
+    };
+    let daemon = Daemon::start(settings).await?;
+    log::info!("E100 started as {} in {}", settings.name, settings.zone);
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let core = daemon.core().clone();
+    tokio::select! {
+        _ = term.recv() => core.handle(Event::Drain),
+        _ = interrupt.recv() => core.handle(Event::Drain),
+        () = core.stopped() => {}
+    }
+    daemon.finish().await?;
+    if let Some(traces) = traces {
+        let _ = traces.shutdown();
+    }
+    log::info!("E103 stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,189 @@
+/*!
+Turns a merged tree into a typed configuration.
+
+Single documents have been checked against the schema by then. What is left is
+what only the merged whole can show: a key that must be there, an address that
+two services use, a service without targets.
+*/
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use super::{
+    Config, Fault, Faults, Position, Service, Target, Urgency,
+    document::Value,
+    merge::{Branch, Item, Leaf, Merged},
+};
+
+/// Deadline of a request that names none, in milliseconds.
+pub const DEFAULT_DEADLINE_MS: u64 = 5_000;
+/// Longest wait for a slot, in milliseconds.
+pub const DEFAULT_QUEUE_MS: u64 = 1_000;
+/// Idle time after which a flow is forgotten, in seconds.
+pub const DEFAULT_IDLE_S: u64 = 4 * 3_600;
+/// Longest stay of opaque flows on a leaving target, in seconds.
+pub const DEFAULT_DRAIN_LIMIT_S: u64 = 8 * 3_600;
+/// Ramp of a new target, in seconds.
+pub const DEFAULT_WARM_UP_S: u64 = 0;
+/// Share of a target that names none.
+pub const DEFAULT_WEIGHT: u64 = 1;
+
+/// Checks a merged tree.
+///
+/// # Errors
+///
+/// All faults of the whole.
+pub fn check(merged: &Merged) -> Result<Config, Faults> {
+    let mut checker = Checker::default();
+    let mut config = Config::default();
+    for (name, branch) in branches(&merged.root, "services") {
+        if let Some(service) = checker.service(name, branch) {
+            config.services.insert(name.clone(), service);
+        }
+    }
+    if config.services.is_empty() && checker.faults.is_empty() {
+        checker.faults.push(Fault::folder("no service in any document"));
+    }
+    if checker.faults.is_empty() { Ok(config) } else { Err(Faults::new(checker.faults)) }
+}
+
+fn branches<'a>(branch: &'a Branch, key: &str) -> Vec<(&'a Arc<str>, &'a Branch)> {
+    let Some(Item::Branch(below)) = branch.entries.get(key) else {
+        return Vec::new();
+    };
+    let only_branches = |(name, item): (&'a Arc<str>, &'a Item)| match item {
+        Item::Branch(branch) => Some((name, branch)),
+        Item::Leaf(_) => None,
+    };
+    below.entries.iter().filter_map(only_branches).collect()
+}
+
+fn leaf<'a>(branch: &'a Branch, key: &str) -> Option<&'a Leaf> {
+    match branch.entries.get(key) {
+        Some(Item::Leaf(leaf)) => Some(leaf),
+        _ => None,
+    }
+}
+
+/// Address, and who took it first.
+struct Taken {
+    owner: String,
+    position: Position,
+}
+
+/// Collects faults while it goes over the tree.
+#[derive(Default)]
+struct Checker {
+    faults: Vec<Fault>,
+    service_addresses: BTreeMap<SocketAddr, Taken>,
+    target_addresses: BTreeMap<SocketAddr, Taken>,
+}
+
+impl Checker {
+    fn service(&mut self, name: &Arc<str>, branch: &Branch) -> Option<Service> {
+        let address = self.required_address(&format!("service {name:?}"), branch);
+        if let Some((address, position)) = &address {
+            let owner = format!("service {name:?}");
+            take(&mut self.service_addresses, *address, owner, position, &mut self.faults);
+        }
+        let targets = self.targets(name, branch);
+        if branches(branch, "targets").is_empty() {
+            self.faults.push(Fault::at(&branch.position, format!("service {name:?} has no targets")));
+        }
+        Some(Service {
+            address: address?.0,
+            urgency: urgency(branch),
+            movable: flag(branch, "movable"),
+            deadline_ms: number(branch, "deadline_ms").unwrap_or(DEFAULT_DEADLINE_MS),
+            queue_ms: number(branch, "queue_ms").unwrap_or(DEFAULT_QUEUE_MS),
+            idle_s: number(branch, "idle_s").unwrap_or(DEFAULT_IDLE_S),
+            drain_limit_s: number(branch, "drain_limit_s").unwrap_or(DEFAULT_DRAIN_LIMIT_S),
+            warm_up_s: number(branch, "warm_up_s").unwrap_or(DEFAULT_WARM_UP_S),
+            targets,
+        })
+    }
+
+    fn targets(&mut self, service: &Arc<str>, branch: &Branch) -> BTreeMap<Arc<str>, Target> {
+        let mut targets = BTreeMap::new();
+        for (name, below) in branches(branch, "targets") {
+            if let Some(target) = self.target(service, name, below) {
+                targets.insert(name.clone(), target);
+            }
+        }
+        targets
+    }
+
+    fn target(&mut self, service: &str, name: &str, branch: &Branch) -> Option<Target> {
+        let owner = format!("target {name:?} of service {service:?}");
+        let address = self.required_address(&owner, branch);
+        if let Some((address, position)) = &address {
+            let owner = owner.clone();
+            take(&mut self.target_addresses, *address, owner, position, &mut self.faults);
+        }
+        let zone = text(branch, "zone");
+        let slots = number(branch, "slots");
+        for (key, missing) in [("zone", zone.is_none()), ("slots", slots.is_none())] {
+            if missing {
+                self.faults.push(Fault::at(&branch.position, format!("{owner} has no {key:?}")));
+            }
+        }
+        Some(Target {
+            address: address?.0,
+            zone: zone?,
+            slots: slots? as u32,
+            weight: number(branch, "weight").unwrap_or(DEFAULT_WEIGHT) as u32,
+            leaving: flag(branch, "leaving"),
+        })
+    }
+
+    fn required_address(&mut self, owner: &str, branch: &Branch) -> Option<(SocketAddr, Position)> {
+        let Some(leaf) = leaf(branch, "address") else {
+            self.faults.push(Fault::at(&branch.position, format!("{owner} has no \"address\"")));
+            return None;
+        };
+        let Value::String(text) = &leaf.value else {
+            return None;
+        };
+        Some((text.parse().ok()?, leaf.position.clone()))
+    }
+}
+
+fn take(
+    taken: &mut BTreeMap<SocketAddr, Taken>,
+    address: SocketAddr,
+    owner: String,
+    position: &Position,
+    faults: &mut Vec<Fault>,
+) {
+    if let Some(first) = taken.get(&address) {
+        let message = format!("{owner} uses {address}, which {} has at {}", first.owner, first.position);
+        faults.push(Fault::at(position, message));
+        return;
+    }
+    taken.insert(address, Taken { owner, position: position.clone() });
+}
+
+fn number(branch: &Branch, key: &str) -> Option<u64> {
+    match &leaf(branch, key)?.value {
+        Value::Number(text) => text.parse().ok(),
+        _ => None,
+    }
+}
+
+fn text(branch: &Branch, key: &str) -> Option<Arc<str>> {
+    match &leaf(branch, key)?.value {
+        Value::String(text) => Some(text.clone()),
+        _ => None,
+    }
+}
+
+fn flag(branch: &Branch, key: &str) -> bool {
+    leaf(branch, key).is_some_and(|leaf| leaf.value == Value::Bool(true))
+}
+
+fn urgency(branch: &Branch) -> Urgency {
+    match text(branch, "urgency").as_deref() {
+        Some("high") => Urgency::High,
+        Some("low") => Urgency::Low,
+        _ => Urgency::Normal,
+    }
+}
--- /dev/null
+++ b/src/config/document.rs
@@ -0,0 +1,154 @@
+/*!
+Reads one document into a tree that remembers where each value stood.
+
+Reading finds what is wrong with a document alone: bytes that are not UTF-8, a
+size over the limit, bad syntax, a key given twice. What keys mean is left to
+the schema.
+*/
+
+use std::sync::Arc;
+
+use jsonc_parser::{CollectOptions, ParseOptions, ast, common::Ranged, parse_to_ast};
+
+use super::{Fault, File, MAX_FILE_BYTES, Position};
+
+/// Value of a document, with its place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tree {
+    /// Where the value starts.
+    pub position: Position,
+    /// The value itself.
+    pub value: Value,
+}
+
+/// Kinds of values.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// Removes what earlier documents said.
+    Null,
+    /// Boolean.
+    Bool(bool),
+    /// Number as written.
+    Number(Arc<str>),
+    /// String.
+    String(Arc<str>),
+    /// List. Only settings have them; no key of a configuration takes one.
+    List(Vec<Tree>),
+    /// Map, in order of writing.
+    Map(Vec<Entry>),
+}
+
+impl Value {
+    /// Name of the kind, for messages.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Value::Null => "null",
+            Value::Bool(_) => "a boolean",
+            Value::Number(_) => "a number",
+            Value::String(_) => "a string",
+            Value::List(_) => "a list",
+            Value::Map(_) => "a map",
+        }
+    }
+}
+
+/// Key and value of a map.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Key.
+    pub key: Arc<str>,
+    /// Where the key starts.
+    pub position: Position,
+    /// Value.
+    pub tree: Tree,
+}
+
+/// Finds line and column of byte offsets.
+struct Lines<'a> {
+    file: Arc<str>,
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    fn new(file: &Arc<str>, text: &'a str) -> Lines<'a> {
+        let breaks = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let starts = std::iter::once(0).chain(breaks.map(|(at, _)| at + 1)).collect();
+        Lines { file: file.clone(), text, starts }
+    }
+
+    fn position(&self, offset: usize) -> Position {
+        let offset = self.text.floor_char_boundary(offset.min(self.text.len()));
+        let line = self.starts.partition_point(|start| *start <= offset) - 1;
+        let column = self.text[self.starts[line]..offset].chars().count() + 1;
+        Position { file: self.file.clone(), line: line as u32 + 1, column: column as u32 }
+    }
+}
+
+/// Reads a document.
+///
+/// # Errors
+///
+/// Every fault of the document's form. A document with bad syntax has one.
+pub fn parse(file: &File) -> Result<Tree, Vec<Fault>> {
+    let start = Position { file: file.name.clone(), line: 1, column: 1 };
+    if file.bytes.len() > MAX_FILE_BYTES {
+        let message = format!("{} bytes, over the limit of {MAX_FILE_BYTES}", file.bytes.len());
+        return Err(vec![Fault::at(&start, message)]);
+    }
+    let text = match std::str::from_utf8(&file.bytes) {
+        Ok(text) => text,
+        Err(error) => return Err(vec![not_utf8(file, error.valid_up_to())]),
+    };
+    let lines = Lines::new(&file.name, text);
+    let options = ParseOptions { allow_loose_object_property_names: false, ..Default::default() };
+    let parsed = match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            let at = lines.position(error.range().start);
+            return Err(vec![Fault::at(&at, error.kind().to_string())]);
+        }
+    };
+    let Some(value) = parsed.value else {
+        return Err(vec![Fault::at(&start, "the document is empty")]);
+    };
+    let mut faults = Vec::new();
+    let tree = convert(&value, &lines, &mut faults);
+    if faults.is_empty() { Ok(tree) } else { Err(faults) }
+}
+
+fn not_utf8(file: &File, valid: usize) -> Fault {
+    let text = std::str::from_utf8(&file.bytes[..valid]).unwrap_or_default();
+    let at = Lines::new(&file.name, text).position(valid);
+    Fault::at(&at, "bytes that are not UTF-8")
+}
+
+fn convert(value: &ast::Value<'_>, lines: &Lines<'_>, faults: &mut Vec<Fault>) -> Tree {
+    let position = lines.position(value.range().start);
+    let value = match value {
+        ast::Value::NullKeyword(_) => Value::Null,
+        ast::Value::BooleanLit(lit) => Value::Bool(lit.value),
+        ast::Value::NumberLit(lit) => Value::Number(lit.value.into()),
+        ast::Value::StringLit(lit) => Value::String(lit.value.as_ref().into()),
+        ast::Value::Array(array) => {
+            Value::List(array.elements.iter().map(|element| convert(element, lines, faults)).collect())
+        }
+        ast::Value::Object(object) => Value::Map(convert_map(object, lines, faults)),
+    };
+    Tree { position, value }
+}
+
+fn convert_map(object: &ast::Object<'_>, lines: &Lines<'_>, faults: &mut Vec<Fault>) -> Vec<Entry> {
+    let mut entries: Vec<Entry> = Vec::new();
+    for property in &object.properties {
+        let key: Arc<str> = property.name.as_str().into();
+        let position = lines.position(property.range.start);
+        if let Some(first) = entries.iter().find(|entry| entry.key == key) {
+            let line = first.position.line;
+            faults.push(Fault::at(&position, format!("key {key:?} given twice, first on line {line}")));
+        }
+        let tree = convert(&property.value, lines, faults);
+        entries.push(Entry { key, position, tree });
+    }
+    entries
+}
--- /dev/null
+++ b/src/config/merge.rs
@@ -0,0 +1,124 @@
+/*!
+Merges documents in order and keeps, for each leaf, where it came from.
+
+Maps merge by key. A leaf replaces the leaf that stood there, and remembers the
+places it replaced. `null` removes the key, with all that is below it.
+*/
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{
+    Fault, Faults, File, MAX_FILES, Position,
+    document::{self, Tree, Value},
+    schema,
+};
+
+/// Merged documents.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Merged {
+    /// Top of the merged tree.
+    pub root: Branch,
+}
+
+/// Map of the merged tree.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Branch {
+    /// Where the map was first written.
+    pub position: Position,
+    /// What stands below.
+    pub entries: BTreeMap<Arc<str>, Item>,
+}
+
+/// Anything below a branch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// Map.
+    Branch(Branch),
+    /// Single value.
+    Leaf(Leaf),
+}
+
+/// Single value with its provenance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leaf {
+    /// Value; never null and never a map.
+    pub value: Value,
+    /// Where it was set.
+    pub position: Position,
+    /// Earlier places that it replaced, oldest first.
+    pub replaced: Vec<Position>,
+}
+
+impl Merged {
+    /// Finds what stands at a dotted path such as `services.booking.address`.
+    pub fn find(&self, path: &str) -> Option<&Item> {
+        let mut keys = path.split('.');
+        let mut item = self.root.entries.get(keys.next()?)?;
+        for key in keys {
+            let Item::Branch(branch) = item else {
+                return None;
+            };
+            item = branch.entries.get(key)?;
+        }
+        Some(item)
+    }
+}
+
+/// Reads, checks and merges documents that are already in order.
+///
+/// # Errors
+///
+/// All faults of all documents.
+pub fn merge(files: &[File]) -> Result<Merged, Faults> {
+    let mut faults = Vec::new();
+    if files.is_empty() {
+        faults.push(Fault::folder("no document (a file named *.jsonc) in it"));
+    }
+    if files.len() > MAX_FILES {
+        faults.push(Fault::folder(format!("{} documents, over the limit of {MAX_FILES}", files.len())));
+    }
+    let top = Position { file: "folder".into(), line: 1, column: 1 };
+    let mut root = Branch { position: top, entries: BTreeMap::new() };
+    for file in files {
+        match document::parse(file) {
+            Ok(tree) => {
+                schema::check(&tree, &mut faults);
+                merge_map(&mut root, &tree);
+            }
+            Err(found) => faults.extend(found),
+        }
+    }
+    if faults.is_empty() { Ok(Merged { root }) } else { Err(Faults::new(faults)) }
+}
+
+fn merge_map(branch: &mut Branch, tree: &Tree) {
+    let Value::Map(entries) = &tree.value else {
+        return;
+    };
+    for entry in entries {
+        match &entry.tree.value {
+            Value::Null => {
+                branch.entries.remove(&entry.key);
+            }
+            Value::Map(_) => {
+                let position = entry.position.clone();
+                let fresh = || Item::Branch(Branch { position, entries: BTreeMap::new() });
+                let item = branch.entries.entry(entry.key.clone()).or_insert_with(fresh);
+                if let Item::Branch(below) = item {
+                    merge_map(below, &entry.tree);
+                }
+            }
+            value => merge_leaf(branch, &entry.key, value, &entry.tree.position),
+        }
+    }
+}
+
+fn merge_leaf(branch: &mut Branch, key: &Arc<str>, value: &Value, position: &Position) {
+    let mut replaced = Vec::new();
+    if let Some(Item::Leaf(older)) = branch.entries.get(key) {
+        replaced.clone_from(&older.replaced);
+        replaced.push(older.position.clone());
+    }
+    let leaf = Leaf { value: value.clone(), position: position.clone(), replaced };
+    branch.entries.insert(key.clone(), Item::Leaf(leaf));
+}
--- /dev/null
+++ b/src/config/revision.rs
@@ -0,0 +1,237 @@
+/*!
+Accepted revisions: their wire form, and which one goes before which.
+
+The platform's store keeps one [`Head`] under [`HEAD_KEY`] and one [`Manifest`]
+and its documents under keys made of their digests. An accept is a single
+compare-and-swap of the head on its parent. Instances adopt a head only if
+[`Lineage::judge`] allows it: a greater revision whose ancestors hold the one in
+force. A store restored from an old copy, and then written again, shows as a
+fork and is refused.
+*/
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use super::{File, Folder};
+
+/// Key of the head in the store.
+pub const HEAD_KEY: &str = "config-head";
+
+/// Ancestors that a head names, newest first.
+pub const MAX_ANCESTORS: usize = 64;
+
+/// SHA-256 of some content, as hexadecimal digits.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+#[serde(try_from = "String")]
+pub struct Digest(Arc<str>);
+
+impl Digest {
+    /// Digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Digest {
+        let hash = Sha256::digest(bytes);
+        let digits: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+        Digest(digits.into())
+    }
+
+    /// Hexadecimal digits.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Key of the content in the store.
+    pub fn key(&self) -> String {
+        format!("config-{}", self.0)
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Digest, String> {
+        let digits = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+        if text.len() != 64 || !text.chars().all(digits) {
+            return Err(format!("{text:?} is not a digest"));
+        }
+        Ok(Digest(text.into()))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Documents of one revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Manifest {
+    /// Documents in merge order.
+    pub files: Vec<Document>,
+}
+
+/// One document of a manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Document {
+    /// Name of the document.
+    pub name: Arc<str>,
+    /// Digest of its content.
+    pub digest: Digest,
+}
+
+impl Manifest {
+    /// Manifest of a folder.
+    pub fn of(folder: &Folder) -> Manifest {
+        let document = |file: &File| Document { name: file.name.clone(), digest: Digest::of(&file.bytes) };
+        Manifest { files: folder.files().iter().map(document).collect() }
+    }
+
+    /// Canonical JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a manifest has only string keys")
+    }
+
+    /// Digest of the canonical JSON.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.to_json().as_bytes())
+    }
+}
+
+/// The accepted revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Head {
+    /// Number of the revision, from one.
+    pub revision: u64,
+    /// Digest of its manifest.
+    pub digest: Digest,
+    /// Identity of the accept that wrote it.
+    pub change: Arc<str>,
+    /// Identities of the accepts before it, newest first.
+    pub ancestors: Vec<Arc<str>>,
+}
+
+impl Head {
+    /// Head that follows `parent`, or the first one.
+    pub fn after(parent: Option<&Head>, digest: Digest, change: impl Into<Arc<str>>) -> Head {
+        let mut ancestors = Vec::new();
+        if let Some(parent) = parent {
+            ancestors.push(parent.change.clone());
+            ancestors.extend(parent.ancestors.iter().take(MAX_ANCESTORS - 1).cloned());
+        }
+        let revision = parent.map_or(1, |parent| parent.revision + 1);
+        Head { revision, digest, change: change.into(), ancestors }
+    }
+
+    /// Reads a head.
+    ///
+    /// # Errors
+    ///
+    /// Text that is not a head.
+    pub fn from_json(text: &str) -> Result<Head, crate::Error> {
+        let head: Head = serde_json::from_str(text)
+            .map_err(|error| crate::Error::new("read the configuration head", error.to_string()))?;
+        if head.revision == 0 {
+            return Err(crate::Error::new("read the configuration head", "revision 0"));
+        }
+        Ok(head)
+    }
+
+    /// JSON for the store.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a head has only string keys")
+    }
+}
+
+/// What to do with a head that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It follows the one in force.
+    Adopt,
+    /// It is the one in force.
+    Same,
+    /// It is older than the one in force.
+    Older,
+    /// It does not descend from the one in force.
+    Fork,
+}
+
+/// The accepts that led to the revision in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lineage {
+    head: Option<Head>,
+}
+
+impl Lineage {
+    /// Head in force.
+    pub fn head(&self) -> Option<&Head> {
+        self.head.as_ref()
+    }
+
+    /// Number of the revision in force, or zero.
+    pub fn revision(&self) -> u64 {
+        self.head.as_ref().map_or(0, |head| head.revision)
+    }
+
+    /// Judges an offered head.
+    pub fn judge(&self, offered: &Head) -> Verdict {
+        let Some(head) = &self.head else {
+            return Verdict::Adopt;
+        };
+        if offered.change == head.change && offered.revision == head.revision {
+            return Verdict::Same;
+        }
+        if offered.revision < head.revision {
+            return Verdict::Older;
+        }
+        let distance = offered.revision - head.revision;
+        if distance == 0 {
+            return Verdict::Fork;
+        }
+        let at = usize::try_from(distance - 1).unwrap_or(usize::MAX);
+        match offered.ancestors.get(at) {
+            Some(change) if *change == head.change => Verdict::Adopt,
+            Some(_) => Verdict::Fork,
+            None if offered.ancestors.len() >= MAX_ANCESTORS => Verdict::Adopt,
+            None => Verdict::Fork,
+        }
+    }
+
+    /// Takes a head over if it may be, and says what it was.
+    pub fn adopt(&mut self, offered: &Head) -> Verdict {
+        let verdict = self.judge(offered);
+        if verdict == Verdict::Adopt {
+            self.head = Some(offered.clone());
+        }
+        verdict
+    }
+}
+
+/// A revision with all its documents, as instances relay it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bundle {
+    /// The accepted head.
+    pub head: Head,
+    /// All documents.
+    pub folder: Folder,
+}
+
+impl Bundle {
+    /// Joins a head with its documents.
+    ///
+    /// # Errors
+    ///
+    /// Documents whose manifest does not have the head's digest.
+    pub fn new(head: Head, folder: Folder) -> Result<Bundle, crate::Error> {
+        let digest = Manifest::of(&folder).digest();
+        if digest != head.digest {
+            let what = format!("documents have digest {digest}, the head names {}", head.digest);
+            return Err(crate::Error::new("join a revision", what));
+        }
+        Ok(Bundle { head, folder })
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,27 @@
+/*!
+Coordination parts of a layer-4 load balancer.
+
+This crate holds the decisions: which target a flow belongs to, whether a
+request may run now, which configuration is in force, who is alive. It opens no
+socket, reads no clock and keeps no global state. Time and randomness come in
+from outside, so a run is a function of its events. The daemon `ragwortlbd` is
+a thin shell around it, and other programs can embed it in the same way.
+
+| module | decides |
+|---|---|
+| [`config`] | what operators accepted, and which revision goes before which |
+*/
+
+pub mod admit;
+pub mod config;
+mod error;
+mod hash;
+pub mod member;
+pub mod node;
+pub mod retry;
+pub mod route;
+mod ticket;
+pub mod time;
+pub mod wire;
+
+pub use error::Error;
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,467 @@
+/*!
+The roster of instances: who is alive, who leaves, how far each has come.
+
+An instance sends heartbeats to a bounded number of neighbours on a ring of
+hashed names. A heartbeat carries its own [`Digest`], and rumours: digests of
+others that changed, and suspicions. A silent peer is held to be lost when two
+observers suspect it, or one if there is no second observer. Any later beat
+clears the suspicion.
+
+Addresses given at the start and the platform's list only say whom to greet;
+neither overrules what peers say themselves.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    hash,
+    route::{
+        change::{self, Progress},
+        keeper::Candidate,
+    },
+    time::Time,
+};
+
+/// Most neighbours that get heartbeats.
+pub const FANOUT: usize = 8;
+
+/// Time between heartbeats, in milliseconds.
+pub const HEARTBEAT_MS: u64 = 500;
+
+/// Silence after which an observer suspects a peer, in milliseconds.
+pub const SUSPECT_MS: u64 = 2_000;
+
+/// Observers that have to suspect a peer.
+pub const OBSERVERS: usize = 2;
+
+/// Most rumours in one heartbeat.
+pub const MAX_RUMOURS: usize = 24;
+
+/// Pause of this instance after which its view counts as old, in milliseconds.
+pub const PAUSE_MS: u64 = 1_000;
+
+/// Beats by which observers of one peer may differ.
+const BEAT_SPREAD: u64 = SUSPECT_MS / HEARTBEAT_MS;
+
+/// Time after which a lost peer is forgotten, in milliseconds.
+const FORGET_MS: u64 = 10 * 60 * 1_000;
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
+pub enum State {
+    /// It has not yet all it needs to serve.
+    #[default]
+    Joining,
+    /// It takes packets.
+    Serving,
+    /// It hands over and will stop.
+    Leaving,
+    /// It has stopped.
+    Left,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Digest {
+    /// Name.
+    pub name: Arc<str>,
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Start of this life; greater for later lives.
+    pub incarnation: u64,
+    /// Heartbeats since the start.
+    pub beat: u64,
+    /// What it does.
+    pub state: State,
+    /// Configuration revision in force.
+    pub revision: u64,
+    /// How far it has come with tables.
+    pub progress: Progress,
+}
+
+impl Digest {
+    fn is_news_to(&self, older: &Digest) -> bool {
+        (self.incarnation, self.beat) > (older.incarnation, older.beat)
+    }
+
+    fn differs_from(&self, older: &Digest) -> bool {
+        self.incarnation != older.incarnation
+            || self.state != older.state
+            || self.revision != older.revision
+            || self.progress != older.progress
+    }
+}
+
+/// Word of an observer that a peer is silent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Suspicion {
+    /// Silent peer.
+    pub subject: Arc<str>,
+    /// Its life.
+    pub incarnation: u64,
+    /// Its last beat that the observer heard.
+    pub beat: u64,
+    /// Who observed.
+    pub observer: Arc<str>,
+}
+
+/// Something that spreads from instance to instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Rumour {
+    /// Digest of another instance.
+    Digest(Digest),
+    /// Suspicion of an observer.
+    Suspicion(Suspicion),
+}
+
+/// Heartbeat: own digest and some rumours.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Heartbeat {
+    /// Digest of the sender.
+    pub digest: Digest,
+    /// Rumours.
+    pub rumours: Vec<Rumour>,
+}
+
+/// Change of the roster that others must act on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A peer is there that was not, or is back.
+    Joined(Arc<str>),
+    /// A peer was lost without a word.
+    Lost(Arc<str>),
+    /// A peer said that it stops.
+    Left(Arc<str>),
+}
+
+/// Instance as others see it.
+#[derive(Clone, Debug)]
+struct Peer {
+    digest: Digest,
+    heard: Time,
+    suspicions: BTreeSet<Arc<str>>,
+    lost: bool,
+}
+
+/// Rumour, and how often it is still to be told.
+#[derive(Clone, Debug)]
+struct Pending {
+    rumour: Rumour,
+    left: u32,
+}
+
+/// All instances that this one knows.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    own: Digest,
+    peers: BTreeMap<Arc<str>, Peer>,
+    greetings: BTreeSet<SocketAddr>,
+    pending: Vec<Pending>,
+    next_beat: Time,
+    last_tick: Option<Time>,
+    awaiting_word: bool,
+}
+
+impl Roster {
+    /// Roster of one instance that will greet some addresses.
+    pub fn new(own: Digest, greetings: impl IntoIterator<Item = SocketAddr>) -> Roster {
+        let address = own.address;
+        Roster {
+            own,
+            peers: BTreeMap::new(),
+            greetings: greetings.into_iter().filter(|greeting| *greeting != address).collect(),
+            pending: Vec::new(),
+            next_beat: Time::default(),
+            last_tick: None,
+            awaiting_word: false,
+        }
+    }
+
+    /// This instance's digest.
+    pub fn own(&self) -> &Digest {
+        &self.own
+    }
+
+    /// Sets what this instance says of itself.
+    pub fn set_own(&mut self, state: State, revision: u64, progress: Progress) {
+        self.own.state = state;
+        self.own.revision = revision;
+        self.own.progress = progress;
+    }
+
+    /// Adds addresses to greet, from the platform's list.
+    pub fn greet(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own.address;
+        self.greetings.extend(addresses.into_iter().filter(|address| *address != own));
+    }
+
+    /// Peers that are alive and have not said that they stopped.
+    pub fn live(&self) -> impl Iterator<Item = &Digest> {
+        let live = |peer: &&Peer| !peer.lost && peer.digest.state != State::Left;
+        self.peers.values().filter(live).map(|peer| &peer.digest)
+    }
+
+    /// Live peers that take part in changes.
+    pub fn serving(&self) -> impl Iterator<Item = &Digest> {
+        self.live().filter(|digest| matches!(digest.state, State::Serving | State::Leaving))
+    }
+
+    /// Progress of the peers that take part in changes.
+    pub fn progress(&self) -> Vec<change::Peer> {
+        let peer = |digest: &Digest| change::Peer { name: digest.name.clone(), progress: digest.progress };
+        self.serving().map(peer).collect()
+    }
+
+    /// Instances that can be keepers, this one included.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let candidate = |digest: &Digest| Candidate::new(digest.name.clone(), digest.zone.clone());
+        let own = Some(&self.own).filter(|own| own.state == State::Serving);
+        let serving = self.live().filter(|digest| digest.state == State::Serving);
+        let mut all: Vec<Candidate> = own.into_iter().chain(serving).map(candidate).collect();
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all
+    }
+
+    /// Names of the instances that take part in changes, this one included.
+    pub fn participants(&self) -> Vec<Arc<str>> {
+        let own = std::iter::once(self.own.name.clone());
+        let mut names: Vec<_> = own.chain(self.serving().map(|digest| digest.name.clone())).collect();
+        names.sort();
+        names
+    }
+
+    /// Address of a peer.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.digest.address)
+    }
+
+    /// Reports whether a peer is alive.
+    pub fn is_live(&self, name: &str) -> bool {
+        self.live().any(|digest| &*digest.name == name)
+    }
+
+    /// Reports whether this instance was paused and has not heard of a peer since.
+    pub fn awaits_word(&self) -> bool {
+        self.awaiting_word && self.live().next().is_some()
+    }
+
+    /// Takes a heartbeat.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now: Time) -> Vec<Change> {
+        self.awaiting_word = false;
+        let mut changes = Vec::new();
+        self.greetings.remove(&heartbeat.digest.address);
+        self.learn(heartbeat.digest, now, &mut changes);
+        for rumour in heartbeat.rumours {
+            match rumour {
+                Rumour::Digest(digest) => self.learn(digest, now, &mut changes),
+                Rumour::Suspicion(suspicion) => self.suspect(suspicion, &mut changes),
+            }
+        }
+        changes
+    }
+
+    /// Looks for silent peers. Call it often.
+    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        let pause = self.last_tick.map_or(0, |last| now.since(last));
+        self.last_tick = Some(now);
+        if pause >= PAUSE_MS {
+            self.forgive(now);
+        }
+        let mut changes = Vec::new();
+        for suspicion in self.silent(now) {
+            self.suspect(suspicion, &mut changes);
+        }
+        self.peers.retain(|_, peer| {
+            !(peer.lost || peer.digest.state == State::Left) || now.since(peer.heard) < FORGET_MS
+        });
+        changes
+    }
+
+    /// Heartbeats that are due, with their addresses.
+    pub fn beats(&mut self, now: Time) -> Vec<(SocketAddr, Heartbeat)> {
+        if now < self.next_beat {
+            return Vec::new();
+        }
+        self.next_beat = now + HEARTBEAT_MS;
+        self.beat_now()
+    }
+
+    /// Heartbeats to all neighbours at once, as when something changed.
+    pub fn beat_now(&mut self) -> Vec<(SocketAddr, Heartbeat)> {
+        self.own.beat += 1;
+        let heartbeat = Heartbeat { digest: self.own.clone(), rumours: self.rumours() };
+        let mut addresses: BTreeSet<SocketAddr> = self.neighbours().into_iter().collect();
+        addresses.extend(self.greetings.iter().take(FANOUT));
+        addresses.into_iter().map(|address| (address, heartbeat.clone())).collect()
+    }
+
+    fn learn(&mut self, digest: Digest, now: Time, changes: &mut Vec<Change>) {
+        if digest.name == self.own.name {
+            return;
+        }
+        let name = digest.name.clone();
+        let Some(peer) = self.peers.get_mut(&name) else {
+            let is_there = digest.state != State::Left;
+            let peer = Peer { digest: digest.clone(), heard: now, suspicions: BTreeSet::new(), lost: false };
+            self.peers.insert(name.clone(), peer);
+            if is_there {
+                changes.push(Change::Joined(name));
+            }
+            self.tell(Rumour::Digest(digest));
+            return;
+        };
+        if !digest.is_news_to(&peer.digest) {
+            return;
+        }
+        let was_there = !peer.lost && peer.digest.state != State::Left;
+        let restarted = digest.incarnation != peer.digest.incarnation;
+        let differs = digest.differs_from(&peer.digest) || peer.lost;
+        peer.digest = digest.clone();
+        peer.heard = now;
+        peer.suspicions.clear();
+        peer.lost = false;
+        if was_there && restarted {
+            changes.push(Change::Lost(name.clone()));
+        }
+        match (was_there && !restarted, digest.state != State::Left) {
+            (false, true) => changes.push(Change::Joined(name)),
+            (true, false) => changes.push(Change::Left(name)),
+            _ => {}
+        }
+        if differs {
+            self.tell(Rumour::Digest(digest));
+        }
+    }
+
+    fn suspect(&mut self, suspicion: Suspicion, changes: &mut Vec<Change>) {
+        let observers = self.observers(&suspicion.subject);
+        let Some(peer) = self.peers.get_mut(&suspicion.subject) else {
+            return;
+        };
+        let latest = (suspicion.incarnation, suspicion.beat.saturating_add(BEAT_SPREAD));
+        let stale = latest < (peer.digest.incarnation, peer.digest.beat);
+        if stale || peer.lost || !peer.suspicions.insert(suspicion.observer.clone()) {
+            return;
+        }
+        if peer.suspicions.len() >= observers {
+            peer.lost = true;
+            if peer.digest.state != State::Left {
+                changes.push(Change::Lost(suspicion.subject.clone()));
+            }
+        }
+        if suspicion.observer != self.own.name {
+            self.tell(Rumour::Suspicion(suspicion));
+        }
+    }
+
+    /// Observers that have to agree on a subject.
+    fn observers(&self, subject: &str) -> usize {
+        let unsuspected =
+            |peer: &&Peer| !peer.lost && peer.suspicions.is_empty() && peer.digest.state != State::Left;
+        let others = self.peers.values().filter(unsuspected).filter(|peer| &*peer.digest.name != subject);
+        (others.count() + 1).min(OBSERVERS)
+    }
+
+    fn silent(&self, now: Time) -> Vec<Suspicion> {
+        let silent = |peer: &&Peer| !peer.lost && now.since(peer.heard) >= SUSPECT_MS;
+        let observed = |peer: &&Peer| self.observes(&peer.digest);
+        self.peers.values().filter(silent).filter(observed).map(|peer| self.suspicion(peer)).collect()
+    }
+
+    /// Forgets old silence after a pause of this instance itself.
+    fn forgive(&mut self, now: Time) {
+        self.awaiting_word = true;
+        for peer in self.peers.values_mut() {
+            peer.heard = now;
+            peer.suspicions.remove(&self.own.name);
+        }
+    }
+
+    fn rumours(&mut self) -> Vec<Rumour> {
+        let mut rumours = self.own_suspicions();
+        let taken = self.pending.len().min(MAX_RUMOURS - rumours.len());
+        rumours.extend(self.pending[..taken].iter().map(|pending| pending.rumour.clone()));
+        for pending in &mut self.pending[..taken] {
+            pending.left -= 1;
+        }
+        self.pending.rotate_left(taken);
+        self.pending.retain(|pending| pending.left > 0);
+        rumours
+    }
+
+    fn own_suspicions(&self) -> Vec<Rumour> {
+        let own = |peer: &&Peer| peer.suspicions.contains(&self.own.name);
+        let suspected = self.peers.values().filter(own).take(MAX_RUMOURS / 2);
+        suspected.map(|peer| Rumour::Suspicion(self.suspicion(peer))).collect()
+    }
+
+    fn suspicion(&self, peer: &Peer) -> Suspicion {
+        Suspicion {
+            subject: peer.digest.name.clone(),
+            incarnation: peer.digest.incarnation,
+            beat: peer.digest.beat,
+            observer: self.own.name.clone(),
+        }
+    }
+
+    /// Spreads a rumour, unless every peer hears of it directly.
+    fn tell(&mut self, rumour: Rumour) {
+        if matches!(rumour, Rumour::Digest(_)) && self.peers.len() <= FANOUT {
+            return;
+        }
+        let repeats = self.peers.len().max(2).ilog2() + 1;
+        let replaced = |pending: &Pending| match (&pending.rumour, &rumour) {
+            (Rumour::Digest(old), Rumour::Digest(new)) => old.name == new.name,
+            (old, new) => old == new,
+        };
+        self.pending.retain(|pending| !replaced(pending));
+        self.pending.push(Pending { rumour, left: repeats });
+    }
+
+    /// Addresses of the neighbours that get heartbeats.
+    fn neighbours(&self) -> Vec<SocketAddr> {
+        let ring = self.ring();
+        let own = hash::name(&self.own.name);
+        let start = ring.partition_point(|(at, _)| *at <= own);
+        let count = ring.len().min(FANOUT);
+        (0..count).map(|i| ring[(start + i) % ring.len()].1.address).collect()
+    }
+
+    /// Reports whether this instance gets a peer's heartbeats directly.
+    fn observes(&self, peer: &Digest) -> bool {
+        let ring = self.ring();
+        let at = hash::name(&peer.name);
+        let own = hash::name(&self.own.name);
+        let mut between = 0;
+        for (other, _) in &ring {
+            let distance = other.wrapping_sub(at);
+            if distance != 0 && distance < own.wrapping_sub(at) {
+                between += 1;
+            }
+        }
+        between < FANOUT
+    }
+
+    /// Peers that may be alive, by the hash of their names.
+    fn ring(&self) -> Vec<(u64, &Digest)> {
+        let there = |peer: &&Peer| peer.digest.state != State::Left;
+        let placed = |peer: &'_ Peer| hash::name(&peer.digest.name);
+        let mut ring: Vec<_> =
+            self.peers.values().filter(there).map(|peer| (placed(peer), &peer.digest)).collect();
+        ring.sort_by_key(|(at, _)| *at);
+        ring
+    }
+}
--- /dev/null
+++ b/src/node/changing.rs
@@ -0,0 +1,347 @@
+//! Leads from one set of tables to the next.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{
+    HISTORY, Node,
+    action::Notice,
+    inputs::{self, Inputs},
+    service::Service,
+};
+use crate::{
+    member::State,
+    route::{change::Step, router::TargetId, table::Member},
+    wire::{Message, Old, Round, ServiceId, TargetState},
+};
+
+/// Time after which a part or union that had no effect is sent again, in milliseconds.
+const RESEND_MS: u64 = 1_000;
+
+impl Node {
+    /// Reports whether this instance routes.
+    pub(super) fn takes_part(&self) -> bool {
+        matches!(self.roster.own().state, State::Serving | State::Leaving)
+    }
+
+    /// Learns new inputs and announces the tables that follow from them.
+    pub(super) fn learn_inputs(&mut self, inputs: Inputs) {
+        self.told = inputs;
+        let version = self.told.version();
+        if !self.takes_part() {
+            self.start_with_told();
+            return;
+        }
+        let done = |peer: &crate::route::change::Peer| peer.progress.ready == version;
+        self.is_late = self.roster.progress().iter().any(done);
+        self.tracker.announce(version, self.now);
+        for service in &mut self.services {
+            service.router.announce(&self.told.members(&service.name));
+        }
+        self.greet_now();
+    }
+
+    /// Takes the told inputs into force at once, as before serving.
+    pub(super) fn start_with_told(&mut self) {
+        self.inputs = self.told.clone();
+        self.base = self.told.clone();
+        self.update_services();
+        for service in &mut self.services {
+            service.router.reset(&self.told.members(&service.name));
+        }
+        self.tracker.reset(self.told.version());
+        self.assign_homes();
+    }
+
+    /// Takes the steps that are due.
+    pub(super) fn change(&mut self) {
+        if !self.takes_part() {
+            return;
+        }
+        self.forget_lagging();
+        let peers = self.roster.progress();
+        match self.tracker.step(&peers, self.now) {
+            Some(Step::TakeEffect) => self.take_effect(),
+            Some(Step::Collect) => self.collect(),
+            Some(Step::Settle) => self.settle(),
+            None => {}
+        }
+    }
+
+    fn take_effect(&mut self) {
+        if self.tracker_was_settled() {
+            self.base = self.inputs.clone();
+        }
+        self.remember_inputs();
+        self.inputs = self.told.clone();
+        self.update_services();
+        let late = self.is_late;
+        for service in &mut self.services {
+            service.router.take_effect();
+            service.router.trust_current(late);
+        }
+        self.assign_homes();
+        self.collector.clear();
+        self.notice(Notice::TablesEffective(self.inputs.version().0));
+        self.greet_now();
+    }
+
+    fn tracker_was_settled(&self) -> bool {
+        self.base.version() == self.inputs.version()
+    }
+
+    fn remember_inputs(&mut self) {
+        let version = self.inputs.version();
+        self.history.retain(|inputs| inputs.version() != version);
+        self.history.push_front(self.inputs.clone());
+        self.history.truncate(HISTORY);
+    }
+
+    fn settle(&mut self) {
+        self.base = self.inputs.clone();
+        for service in &mut self.services {
+            service.router.settle();
+        }
+        self.lagging.clear();
+        self.is_late = false;
+        self.notice(Notice::TablesSettled(self.inputs.version().0));
+    }
+
+    /// Brings the table of services in line with the inputs in force.
+    fn update_services(&mut self) {
+        let config = self.inputs.config().clone();
+        self.drop_removed_services();
+        let now = self.now;
+        for (name, conf) in &config.services {
+            let id = ServiceId::of(name);
+            let index = match self.by_id.get(&id) {
+                Some(index) => *index,
+                None => {
+                    let mut service = Service::new(name, conf, &self.settings);
+                    service.router.reset(&self.inputs.members(name));
+                    self.services.push(service);
+                    self.by_id.insert(id, self.services.len() - 1);
+                    self.services.len() - 1
+                }
+            };
+            let serving: Vec<Arc<str>> =
+                self.inputs.members(name).into_iter().map(|member: Member| member.name).collect();
+            self.services[index].update_targets(conf, &serving, now);
+        }
+        let configured =
+            self.services.iter().enumerate().filter(|(_, service)| !service.conf.targets.is_empty());
+        self.by_address = configured.map(|(index, service)| (service.conf.address, index)).collect();
+        self.drop_foreign_targets();
+        self.note_gone_targets();
+    }
+
+    /// Drops services that are not configured any more, with their flows.
+    fn drop_removed_services(&mut self) {
+        let config = self.inputs.config().clone();
+        for service in &mut self.services {
+            if config.services.contains_key(&service.name) {
+                continue;
+            }
+            service.router.reset(&[]);
+            for number in service.targets.keys() {
+                service.router.drop_target(*number);
+            }
+            service.targets.clear();
+            service.conf.targets.clear();
+        }
+    }
+
+    /// Drops old targets whose address belongs to another service now.
+    fn drop_foreign_targets(&mut self) {
+        let config = self.inputs.config().clone();
+        let mut owners = BTreeMap::new();
+        for (name, conf) in &config.services {
+            owners.extend(conf.targets.values().map(|target| (target.address, name.clone())));
+        }
+        for service in &mut self.services {
+            let foreign = |target: &super::service::Target| {
+                owners.get(&target.address).is_some_and(|owner| *owner != service.name)
+            };
+            let numbers: Vec<u16> = service
+                .targets
+                .iter()
+                .filter(|(_, target)| foreign(target))
+                .map(|(number, _)| *number)
+                .collect();
+            for number in numbers {
+                service.router.drop_target(number);
+                service.targets.remove(&number);
+            }
+        }
+    }
+
+    fn note_gone_targets(&mut self) {
+        for service in &mut self.services {
+            for (number, target) in &service.targets {
+                let key = (service.id, TargetId::of(&target.key));
+                let gone = self.inputs.state(key).is_some_and(|state| state.gone);
+                if gone && !service.router.is_gone(*number) {
+                    service.router.drop_target(*number);
+                } else if !gone && target.leaving_since.is_none() {
+                    service.router.restore_target(*number);
+                }
+            }
+        }
+    }
+
+    /// Assigns the homes of all slots.
+    pub(super) fn assign_homes(&mut self) {
+        let own = self.settings.name.clone();
+        let mut instances: Vec<Arc<str>> =
+            self.candidates.iter().map(|candidate| candidate.name.clone()).collect();
+        if instances.is_empty() {
+            instances.push(own.clone());
+        }
+        for service in &mut self.services {
+            service.assign_homes(&instances, &own);
+        }
+    }
+
+    /// Notes that a target leaves or is back, by its own word.
+    pub(super) fn mark_leaving(&mut self, service: &str, target: &str, leaving: bool) {
+        let Some(conf) = self.told.config().services.get(service).and_then(|s| s.targets.get(target)) else {
+            return;
+        };
+        let key = inputs::target_key(target, conf.address);
+        let id = (ServiceId::of(service), TargetId::of(&key));
+        let epoch = self.told.state(id).map_or(0, |state| state.epoch);
+        if (epoch % 2 == 1) == leaving {
+            return;
+        }
+        let state = TargetState { service: id.0, target: id.1, epoch: epoch + 1, gone: false };
+        let name: Arc<str> = target.into();
+        self.notice(if leaving { Notice::TargetLeaving(name) } else { Notice::TargetBack(name) });
+        self.merge_states(vec![state]);
+    }
+
+    /// Merges targets' states; spreads what is news.
+    pub(super) fn merge_states(&mut self, states: Vec<TargetState>) {
+        let mut told = self.told.clone();
+        let configured = |state: &TargetState| {
+            inputs::known_target(self.told.config(), (state.service, state.target)).is_some()
+        };
+        let news: Vec<TargetState> =
+            states.into_iter().filter(configured).filter(|state| told.merge(*state)).collect();
+        if news.is_empty() {
+            return;
+        }
+        self.learn_inputs(told);
+        let peers: Vec<Arc<str>> = self.roster.live().map(|digest| digest.name.clone()).collect();
+        for peer in peers {
+            self.send(&peer, Message::Targets(news.clone()));
+        }
+    }
+
+    /// Starts or continues a round of collecting filters.
+    fn collect(&mut self) {
+        let participants = self.roster.participants();
+        let round = Round::new(self.tracker.progress().effective, &participants);
+        let now = self.now;
+        if self.collector.begin(round, participants.clone(), now) {
+            let parts = self.own_parts(&participants);
+            self.collector.set_parts(parts);
+        }
+        if self.collector.is_due(now, RESEND_MS) {
+            let own = self.settings.name.clone();
+            for peer in self.collector.silent(&own) {
+                let part = self.collector.part_for(&peer);
+                self.send(&peer, Message::Part(round, part));
+            }
+        }
+        self.advance_collection();
+    }
+
+    /// Old flows held here, by the instance that unites them.
+    fn own_parts(&mut self, participants: &[Arc<str>]) -> BTreeMap<Arc<str>, Vec<Old>> {
+        let mut parts: BTreeMap<Arc<str>, Vec<Old>> = BTreeMap::new();
+        for service in &self.services {
+            for (number, flows) in service.router.old_flows() {
+                let Some(target) = service.router.id(number) else {
+                    continue;
+                };
+                let filter = crate::route::filter::Filter::of(&flows);
+                let owner = super::collector::owner(participants, service.id, target);
+                parts.entry(owner).or_default().push(Old { service: service.id, target, filter });
+            }
+        }
+        parts
+    }
+
+    pub(super) fn take_part(&mut self, sender: &Arc<str>, round: Round, old: Vec<Old>) {
+        if let Some(union) = self.collector.add_part(sender, round, old) {
+            self.send(sender, Message::Union(round, union));
+        }
+        self.advance_collection();
+    }
+
+    pub(super) fn take_union(&mut self, sender: &Arc<str>, round: Round, old: Vec<Old>) {
+        self.collector.add_union(sender, round, old);
+        self.advance_collection();
+    }
+
+    /// Sends the union when all parts are here, and ends the round when all unions are.
+    fn advance_collection(&mut self) {
+        let own = self.settings.name.clone();
+        if let Some((round, union, peers)) = self.collector.finish_parts(&own) {
+            for peer in peers {
+                self.send(&peer, Message::Union(round, union.clone()));
+            }
+        }
+        if let Some((round, unions)) = self.collector.finish_unions() {
+            self.add_old(&unions);
+            for service in &mut self.services {
+                service.router.complete_filters();
+            }
+            self.tracker.complete(round.version);
+            self.register_ambiguous();
+            self.greet_now();
+        }
+    }
+
+    /// Adds filters of old flows that came from others.
+    pub(super) fn add_old(&mut self, old: &[Old]) {
+        let now = self.now;
+        for Old { service, target, filter } in old {
+            let Some(index) = self.by_id.get(service).copied() else {
+                continue;
+            };
+            let router = &mut self.services[index].router;
+            if let Some(number) = router.find(*target) {
+                router.add_filter(number, filter.clone(), now);
+            }
+        }
+    }
+
+    /// Opens a change again for a peer that has an older version in force.
+    pub(super) fn watch_lagging(&mut self, peer: &Arc<str>) {
+        let progress = self.roster.live().find(|digest| digest.name == *peer).map(|digest| digest.progress);
+        let Some(progress) = progress else {
+            return;
+        };
+        let effective = self.tracker.progress().effective;
+        if !self.takes_part() || progress.effective == effective || !self.tracker.is_settled() {
+            return;
+        }
+        let older = self.history.iter().find(|inputs| inputs.version() == progress.effective).cloned();
+        let Some(older) = older else {
+            return;
+        };
+        self.lagging.insert(peer.clone());
+        for service in &mut self.services {
+            service.router.set_base(&older.members(&service.name));
+            service.router.trust_current(true);
+        }
+        self.tracker.reopen();
+        self.collector.clear();
+        self.notice(Notice::PeerLags(peer.clone()));
+    }
+
+    fn forget_lagging(&mut self) {
+        let roster = &self.roster;
+        self.lagging.retain(|peer| roster.is_live(peer));
+    }
+}
--- /dev/null
+++ b/src/node/collector.rs
@@ -0,0 +1,177 @@
+/*!
+Unites the filters of old flows of all participants.
+
+Each participant sends every other one the part that this one unites; when all
+parts are in, the uniting instance sends the union to all. Both happen once per
+round, and a round is named by the version and the participants, so a change of
+either starts afresh and late messages of another round are not mixed in. A part
+that comes before this instance begins its round is kept for it.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use crate::{
+    hash,
+    route::router::TargetId,
+    time::Time,
+    wire::{Old, Round, ServiceId},
+};
+
+/// Rounds for which early messages are kept.
+const MAX_EARLY: usize = 8;
+
+impl Round {
+    /// Round of a version among some participants, in order.
+    pub fn new(version: crate::route::change::Version, participants: &[Arc<str>]) -> Round {
+        let fold = |sum, name: &Arc<str>| hash::pair(sum, hash::name(name));
+        Round { version, participants: participants.iter().fold(0, fold) }
+    }
+}
+
+/// Participant that unites the filters of a target.
+pub(super) fn owner(participants: &[Arc<str>], service: ServiceId, target: TargetId) -> Arc<str> {
+    let key = hash::pair(target.0, u64::from(service.0));
+    let score = |name: &&Arc<str>| hash::pair(key, hash::name(name));
+    participants.iter().max_by_key(score).cloned().expect("an instance takes part itself")
+}
+
+/// Messages of one round.
+#[derive(Clone, Debug, Default)]
+struct Messages {
+    parts: BTreeMap<Arc<str>, Vec<Old>>,
+    unions: BTreeMap<Arc<str>, Vec<Old>>,
+}
+
+/// Round under way, and messages of others.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Collector {
+    round: Option<Round>,
+    participants: BTreeSet<Arc<str>>,
+    own: BTreeMap<Arc<str>, Vec<Old>>,
+    messages: BTreeMap<Round, Messages>,
+    order: Vec<Round>,
+    united: Option<Vec<Old>>,
+    is_done: bool,
+    sent: Option<Time>,
+}
+
+impl Collector {
+    /// Drops the round under way; early messages stay.
+    pub(super) fn clear(&mut self) {
+        self.round = None;
+        self.united = None;
+        self.own.clear();
+    }
+
+    /// Begins a round. Returns whether it is a new one.
+    pub(super) fn begin(&mut self, round: Round, participants: Vec<Arc<str>>, _now: Time) -> bool {
+        if self.round == Some(round) {
+            return false;
+        }
+        self.round = Some(round);
+        self.participants = participants.into_iter().collect();
+        self.united = None;
+        self.is_done = false;
+        self.sent = None;
+        true
+    }
+
+    /// Sets this instance's parts, by the participant that unites them.
+    pub(super) fn set_parts(&mut self, parts: BTreeMap<Arc<str>, Vec<Old>>) {
+        self.own = parts;
+    }
+
+    /// Reports whether parts are to be sent now.
+    pub(super) fn is_due(&mut self, now: Time, resend_ms: u64) -> bool {
+        let due = !self.is_done && self.sent.is_none_or(|sent| now.since(sent) >= resend_ms);
+        if due {
+            self.sent = Some(now);
+        }
+        due
+    }
+
+    /// Participants whose union is not here.
+    pub(super) fn silent(&self, own: &Arc<str>) -> Vec<Arc<str>> {
+        let unions = self.current().map(|messages| &messages.unions);
+        let is_silent =
+            |name: &&Arc<str>| *name != own && !unions.is_some_and(|unions| unions.contains_key(*name));
+        self.participants.iter().filter(is_silent).cloned().collect()
+    }
+
+    /// This instance's part for a participant.
+    pub(super) fn part_for(&self, peer: &Arc<str>) -> Vec<Old> {
+        self.own.get(peer).cloned().unwrap_or_default()
+    }
+
+    /// Takes a part. Returns the union if it had been sent already.
+    pub(super) fn add_part(&mut self, sender: &Arc<str>, round: Round, old: Vec<Old>) -> Option<Vec<Old>> {
+        self.messages_of(round).parts.insert(sender.clone(), old);
+        if self.round == Some(round) { self.united.clone() } else { None }
+    }
+
+    /// Takes a union.
+    pub(super) fn add_union(&mut self, sender: &Arc<str>, round: Round, old: Vec<Old>) {
+        self.messages_of(round).unions.insert(sender.clone(), old);
+    }
+
+    /// Unites the parts when all are here. Returns the union and who gets it.
+    pub(super) fn finish_parts(&mut self, own: &Arc<str>) -> Option<(Round, Vec<Old>, Vec<Arc<str>>)> {
+        let round = self.round.filter(|_| self.united.is_none())?;
+        let own_part = self.part_for(own);
+        self.messages_of(round).parts.insert(own.clone(), own_part);
+        let messages = self.current()?;
+        if !self.participants.iter().all(|name| messages.parts.contains_key(name)) {
+            return None;
+        }
+        let union = unite(messages.parts.values().flatten());
+        self.united = Some(union.clone());
+        self.messages_of(round).unions.insert(own.clone(), union.clone());
+        let peers = self.participants.iter().filter(|name| *name != own).cloned().collect();
+        Some((round, union, peers))
+    }
+
+    /// Ends the round when all unions are here. Returns all filters, once.
+    pub(super) fn finish_unions(&mut self) -> Option<(Round, Vec<Old>)> {
+        let round = self.round.filter(|_| !self.is_done)?;
+        let messages = self.current()?;
+        if !self.participants.iter().all(|name| messages.unions.contains_key(name)) {
+            return None;
+        }
+        let all = messages.unions.values().flatten().cloned().collect();
+        self.is_done = true;
+        Some((round, all))
+    }
+
+    fn current(&self) -> Option<&Messages> {
+        self.messages.get(&self.round?)
+    }
+
+    fn messages_of(&mut self, round: Round) -> &mut Messages {
+        if !self.messages.contains_key(&round) {
+            self.order.push(round);
+            if self.order.len() > MAX_EARLY {
+                let oldest = self.order.remove(0);
+                self.messages.remove(&oldest);
+            }
+        }
+        self.messages.entry(round).or_default()
+    }
+}
+
+/// Unites filters of the same target.
+fn unite<'a>(parts: impl Iterator<Item = &'a Old>) -> Vec<Old> {
+    let mut united: BTreeMap<(ServiceId, TargetId), Old> = BTreeMap::new();
+    for old in parts {
+        let key = (old.service, old.target);
+        match united.get_mut(&key) {
+            Some(sum) => sum.filter.unite(&old.filter),
+            None => {
+                united.insert(key, old.clone());
+            }
+        }
+    }
+    united.into_values().collect()
+}
--- /dev/null
+++ b/src/node/configuring.rs
@@ -0,0 +1,165 @@
+//! Judges offered revisions, and relays the one in force.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{Node, action::Notice};
+use crate::{
+    config::{
+        Config,
+        revision::{Bundle, Digest, Head, Manifest, Verdict},
+    },
+    time::Time,
+    wire::{self, Message},
+};
+
+/// Time after which a peer that was asked for a revision is given up, in milliseconds.
+const FETCH_MS: u64 = 500;
+
+/// Content in one answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// Revision that is being fetched from a peer.
+pub(super) struct Incoming {
+    peer: Arc<str>,
+    head: Option<(Head, Manifest)>,
+    since: Time,
+}
+
+impl Node {
+    /// Judges a revision, and adopts it if it may be.
+    pub(super) fn offer(&mut self, bundle: Bundle) {
+        if !self.may_adopt(&bundle.head) {
+            return;
+        }
+        let config = match bundle.folder.check() {
+            Ok(config) => config,
+            Err(faults) => {
+                self.notice(Notice::BadRevision(faults.to_string()));
+                return;
+            }
+        };
+        self.adopt(bundle, config);
+    }
+
+    fn may_adopt(&mut self, head: &Head) -> bool {
+        match self.lineage.judge(head) {
+            Verdict::Adopt => true,
+            Verdict::Same => false,
+            Verdict::Older => {
+                self.counts.refused_revisions += 1;
+                self.notice(Notice::OlderRevision(head.revision, self.lineage.revision()));
+                false
+            }
+            Verdict::Fork => {
+                self.counts.refused_revisions += 1;
+                self.notice(Notice::ForkedRevision(head.revision));
+                false
+            }
+        }
+    }
+
+    fn adopt(&mut self, bundle: Bundle, config: Config) {
+        self.lineage.adopt(&bundle.head);
+        self.incoming = None;
+        self.content =
+            bundle.folder.files().iter().map(|f| (Digest::of(&f.bytes), f.bytes.clone())).collect();
+        let head = bundle.head.clone();
+        self.bundle = Some(bundle);
+        self.notice(Notice::Adopted(head.revision));
+        let mut inputs = self.told.clone();
+        inputs.set_config(head.revision, head.change, Arc::new(config));
+        self.learn_inputs(inputs);
+    }
+
+    /// Asks a peer that has a later revision for it.
+    pub(super) fn fetch_from(&mut self, peer: &Arc<str>, revision: u64) {
+        if revision <= self.lineage.revision() {
+            return;
+        }
+        let now = self.now;
+        if self.incoming.as_ref().is_some_and(|incoming| now.since(incoming.since) < FETCH_MS) {
+            return;
+        }
+        self.incoming = Some(Incoming { peer: peer.clone(), head: None, since: now });
+        self.send(peer, Message::WantHead);
+    }
+
+    pub(super) fn give_head(&mut self, peer: &Arc<str>) {
+        if let Some(bundle) = &self.bundle {
+            let message = Message::from(bundle);
+            self.send(peer, message);
+        }
+    }
+
+    pub(super) fn take_head(&mut self, sender: &Arc<str>, head: Head, manifest: Manifest) {
+        let asked = self.incoming.as_ref().is_some_and(|incoming| incoming.peer == *sender);
+        if !asked || !self.may_adopt(&head) {
+            return;
+        }
+        if manifest.digest() != head.digest {
+            self.notice(Notice::BadRevision(format!("{sender} sent a manifest that is not the head's")));
+            return;
+        }
+        let needed = manifest.files.iter().map(|document| &document.digest);
+        let missing: Vec<Digest> =
+            needed.filter(|digest| !self.content.contains_key(digest)).cloned().collect();
+        let now = self.now;
+        self.incoming = Some(Incoming { peer: sender.clone(), head: Some((head, manifest)), since: now });
+        if missing.is_empty() {
+            self.complete_incoming();
+        } else {
+            self.send(sender, Message::WantFiles(missing));
+        }
+    }
+
+    pub(super) fn give_files(&mut self, peer: &Arc<str>, digests: &[Digest]) {
+        let mut files = Vec::new();
+        let mut total = 0;
+        for content in digests.iter().filter_map(|digest| self.content.get(digest)) {
+            total += content.len();
+            if total > MAX_ANSWER_BYTES && !files.is_empty() {
+                break;
+            }
+            files.push(content.clone());
+        }
+        self.send(peer, Message::Files(files));
+    }
+
+    pub(super) fn take_files(&mut self, sender: &Arc<str>, files: Vec<Vec<u8>>) {
+        let asked = self.incoming.as_ref().is_some_and(|incoming| incoming.peer == *sender);
+        if !asked || files.is_empty() {
+            return;
+        }
+        self.content.extend(files.into_iter().map(|bytes| (Digest::of(&bytes), bytes)));
+        self.complete_incoming();
+    }
+
+    fn complete_incoming(&mut self) {
+        let Some((head, manifest)) = self.incoming.as_ref().and_then(|incoming| incoming.head.clone()) else {
+            return;
+        };
+        let needed = manifest.files.iter().map(|document| document.digest.clone());
+        let missing: Vec<Digest> = needed.filter(|digest| !self.content.contains_key(digest)).collect();
+        if !missing.is_empty() {
+            self.ask_for_rest(missing);
+            return;
+        }
+        let content: HashMap<Digest, Vec<u8>> = std::mem::take(&mut self.content);
+        let content: Vec<_> = content.into_iter().collect();
+        let bundle = wire::assemble(head, &manifest, &content);
+        self.content = content.into_iter().collect();
+        match bundle {
+            Ok(bundle) => self.offer(bundle),
+            Err(error) => self.notice(Notice::BadRevision(error.to_string())),
+        }
+    }
+
+    fn ask_for_rest(&mut self, missing: Vec<Digest>) {
+        let now = self.now;
+        if let Some(incoming) = &mut self.incoming {
+            incoming.since = now;
+            let peer = incoming.peer.clone();
+            self.send(&peer, Message::WantFiles(missing));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/inputs.rs
@@ -0,0 +1,106 @@
+//! What tables are computed from: the configuration and the states of targets.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::{self, Config},
+    hash,
+    route::{change::Version, router::TargetId, table::Member},
+    wire::{ServiceId, TargetState},
+};
+
+/// Key of a target's state.
+pub(super) type StateKey = (ServiceId, TargetId);
+
+/// Inputs of all tables.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Inputs {
+    revision: u64,
+    change: Arc<str>,
+    config: Arc<Config>,
+    states: BTreeMap<StateKey, TargetState>,
+}
+
+impl Inputs {
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// Replaces the configuration.
+    pub(super) fn set_config(&mut self, revision: u64, change: Arc<str>, config: Arc<Config>) {
+        self.revision = revision;
+        self.change = change;
+        self.config = config;
+        let kept = |key: &StateKey| known_target(&self.config, *key).is_some();
+        self.states.retain(|key, _| kept(key));
+    }
+
+    /// Merges a target's state. Returns whether it was news.
+    pub(super) fn merge(&mut self, state: TargetState) -> bool {
+        let key = (state.service, state.target);
+        let rank = |state: &TargetState| (state.epoch, state.gone);
+        match self.states.get(&key) {
+            Some(held) if rank(held) >= rank(&state) => false,
+            _ => {
+                self.states.insert(key, state);
+                true
+            }
+        }
+    }
+
+    /// States of all targets that are not plainly serving.
+    pub(super) fn states(&self) -> Vec<TargetState> {
+        self.states.values().copied().collect()
+    }
+
+    pub(super) fn state(&self, key: StateKey) -> Option<&TargetState> {
+        self.states.get(&key)
+    }
+
+    /// Version of these inputs.
+    pub(super) fn version(&self) -> Version {
+        if self.revision == 0 {
+            return Version::default();
+        }
+        let start = hash::pair(self.revision, hash::name(&self.change));
+        let fold = |version: u64, state: &TargetState| {
+            let target = hash::pair(state.target.0, u64::from(state.service.0));
+            hash::pair(version, hash::pair(target, u64::from(state.epoch) * 2 + u64::from(state.gone)))
+        };
+        Version(self.states.values().fold(start, fold))
+    }
+
+    /// Targets of a service that get new flows.
+    pub(super) fn members(&self, name: &str) -> Vec<Member> {
+        let Some(service) = self.config.services.get(name) else {
+            return Vec::new();
+        };
+        let id = ServiceId::of(name);
+        let serving = |(name, target): (&Arc<str>, &config::Target)| {
+            let key = target_key(name, target.address);
+            let state = self.states.get(&(id, TargetId::of(&key)));
+            let leaves = target.leaving || state.is_some_and(|state| state.epoch % 2 == 1 || state.gone);
+            (!leaves).then(|| Member::new(key, target.weight))
+        };
+        service.targets.iter().filter_map(serving).collect()
+    }
+}
+
+/// Name of a target in tables. The address is part of it: under another address
+/// it is another target.
+pub(super) fn target_key(name: &str, address: SocketAddr) -> Arc<str> {
+    format!("{name}@{address}").into()
+}
+
+/// Finds the configured target of a state.
+pub(super) fn known_target(config: &Config, key: StateKey) -> Option<(Arc<str>, Arc<str>)> {
+    let (service, id) = key;
+    let (name, found) = config.services.iter().find(|(name, _)| ServiceId::of(name) == service)?;
+    let same =
+        |(target, conf): &(&Arc<str>, &config::Target)| TargetId::of(&target_key(target, conf.address)) == id;
+    found.targets.iter().find(same).map(|(target, _)| (name.clone(), target.clone()))
+}
--- /dev/null
+++ b/src/node/recording.rs
@@ -0,0 +1,234 @@
+//! Claims and keeps records of requests that are not idempotent.
+
+use std::sync::Arc;
+
+use super::{Node, event::Ticket, job::Stage, question::Topic};
+use crate::{
+    hash,
+    route::keeper::{self, Candidate},
+    wire::{Claimed, Flow, Message, Outcome, RequestId},
+};
+
+/// Wait for the second keeper's answer, in milliseconds.
+const COPY_MS: u64 = 100;
+
+/// Wait for the first keeper's answer, in milliseconds.
+const CLAIM_MS: u64 = 250;
+
+impl Node {
+    /// Asks the first keeper of a request for leave to run it.
+    pub(super) fn claim(&mut self, ticket: Ticket) {
+        let Some(work) = self.work(ticket) else {
+            return;
+        };
+        work.stage = Stage::Claiming;
+        let (request, index) = (work.request, work.service);
+        let flow = Flow { service: self.services[index].id, id: request.flow };
+        let id = RequestId { flow, number: request.number };
+        if let Some(work) = self.work(ticket) {
+            work.record = Some(id);
+        }
+        let is_first = request.attempt <= 1;
+        let own = self.settings.name.clone();
+        let Some(first) = self.record_keepers(id).into_iter().next() else {
+            self.end_claim_unanswered(ticket);
+            return;
+        };
+        let number = self.ask(Topic::Claim(ticket), [first.clone()], vec![ticket], CLAIM_MS);
+        if first == own {
+            self.judge_claim(&own, number, id, is_first);
+        } else {
+            self.send(&first, Message::Claim(number, id, is_first));
+        }
+    }
+
+    fn record_keepers(&self, id: RequestId) -> Vec<Arc<str>> {
+        keeper::keepers(&self.candidates, record_key(id))
+    }
+
+    /// Judges a claim as the first keeper.
+    pub(super) fn judge_claim(&mut self, claimant: &Arc<str>, number: u32, id: RequestId, is_first: bool) {
+        let keepers = self.record_keepers(id);
+        if keepers.first() != Some(&self.settings.name) {
+            self.answer_claim(claimant, number, Claimed::Refused);
+            return;
+        }
+        let roster = &self.roster;
+        let own = &self.settings.name;
+        let is_live = |peer: &str| peer == &**own || roster.is_live(peer);
+        let claimed = self.records.claim(id, claimant, is_first, is_live, self.now);
+        let Some(second) = keepers.get(1).filter(|_| claimed == Claimed::Granted) else {
+            self.answer_claim(claimant, number, claimed);
+            return;
+        };
+        let topic = Topic::Copy(id, claimant.clone(), number);
+        let copy = self.ask(topic, [second.clone()], Vec::new(), COPY_MS);
+        self.send(second, Message::Copy(copy, id, claimant.clone()));
+    }
+
+    fn answer_claim(&mut self, claimant: &Arc<str>, number: u32, claimed: Claimed) {
+        let own = self.settings.name.clone();
+        if *claimant == own {
+            self.take_claimed(&own, number, claimed);
+        } else {
+            self.send(claimant, Message::Claimed(number, claimed));
+        }
+    }
+
+    pub(super) fn hold_copy(&mut self, sender: &Arc<str>, copy: u32, id: RequestId, owner: Arc<str>) {
+        let held = self.records.copy(id, &owner, self.now);
+        self.send(sender, Message::Copied(copy, held));
+    }
+
+    pub(super) fn take_copied(&mut self, number: u32, held: bool) {
+        let Some(question) = self.questions.remove(&number) else {
+            return;
+        };
+        if let Topic::Copy(id, claimant, claim) = question.topic {
+            self.end_copy(id, claimant, claim, held);
+        }
+    }
+
+    /// Grants a claim, or refuses it as the second keeper holds no copy.
+    pub(super) fn end_copy(&mut self, id: RequestId, claimant: Arc<str>, claim: u32, held: bool) {
+        if held {
+            self.answer_claim(&claimant, claim, Claimed::Granted);
+            return;
+        }
+        let why: Arc<str> = "its second keeper did not answer".into();
+        self.end_record(id, Outcome::NotRun(why));
+        self.answer_claim(&claimant, claim, Claimed::Refused);
+    }
+
+    pub(super) fn take_claimed(&mut self, _sender: &Arc<str>, number: u32, claimed: Claimed) {
+        let Some(question) = self.questions.remove(&number) else {
+            return;
+        };
+        let Topic::Claim(ticket) = question.topic else {
+            return;
+        };
+        match claimed {
+            Claimed::Granted => self.route_request(ticket),
+            Claimed::Joined => self.join(ticket),
+            Claimed::Ended(outcome) => self.end_without_record(ticket, outcome),
+            Claimed::Lost => {
+                let why = "an earlier attempt may have run, and its record is lost";
+                self.end_without_record(ticket, Outcome::Unknown(why.into()));
+            }
+            Claimed::Refused => self.refuse_claim(ticket),
+        }
+    }
+
+    fn join(&mut self, ticket: Ticket) {
+        if let Some(work) = self.work(ticket) {
+            work.stage = Stage::Joined;
+            work.may_have_run = true;
+        }
+    }
+
+    /// Ends a claim that the first keeper did not answer. It may still grant it,
+    /// so the record is ended as not run.
+    pub(super) fn end_claim_unanswered(&mut self, ticket: Ticket) {
+        let first = self.work(ticket).is_some_and(|work| work.request.attempt <= 1);
+        if !first {
+            let why = "no keeper knows what became of an earlier attempt";
+            self.end_without_record(ticket, Outcome::Unknown(why.into()));
+            return;
+        }
+        self.end_not_run(ticket, "no keeper answered");
+    }
+
+    fn refuse_claim(&mut self, ticket: Ticket) {
+        let first = self.work(ticket).is_some_and(|work| work.request.attempt <= 1);
+        let why = "its keepers could not hold a record";
+        if first {
+            self.end_without_record(ticket, Outcome::NotRun(why.into()));
+        } else {
+            self.end_without_record(ticket, Outcome::Unknown(why.into()));
+        }
+    }
+
+    /// Ends a request whose record belongs to another attempt.
+    fn end_without_record(&mut self, ticket: Ticket, outcome: Outcome) {
+        if let Some(work) = self.work(ticket) {
+            work.record = None;
+        }
+        self.end(ticket, outcome);
+    }
+
+    /// Tells the keepers of a request what became of it.
+    pub(super) fn finish_record(&mut self, id: RequestId, outcome: &Outcome) {
+        for keeper in self.record_keepers(id) {
+            if keeper == self.settings.name {
+                self.end_record(id, outcome.clone());
+            } else {
+                self.send(&keeper, Message::Finish(id, outcome.clone()));
+            }
+        }
+    }
+
+    /// Takes the outcome of a request, as its keeper or as one that joined it.
+    pub(super) fn take_finish(&mut self, id: RequestId, outcome: Outcome) {
+        self.end_joined(id, &outcome);
+        self.end_record(id, outcome);
+    }
+
+    fn end_record(&mut self, id: RequestId, outcome: Outcome) {
+        let joined = self.records.finish(id, outcome.clone(), self.now);
+        self.tell_joined(id, joined, &outcome);
+    }
+
+    fn tell_joined(&mut self, id: RequestId, joined: Vec<Arc<str>>, outcome: &Outcome) {
+        for peer in joined {
+            if peer == self.settings.name {
+                self.end_joined(id, outcome);
+            } else {
+                self.send(&peer, Message::Finish(id, outcome.clone()));
+            }
+        }
+    }
+
+    fn end_joined(&mut self, id: RequestId, outcome: &Outcome) {
+        let joined = |job: &super::job::Job| match job {
+            super::job::Job::Work(work) => work.stage == Stage::Joined && work.record == Some(id),
+            super::job::Job::Packet(..) => false,
+        };
+        let mut tickets: Vec<Ticket> =
+            self.jobs.iter().filter(|(_, job)| joined(job)).map(|(ticket, _)| *ticket).collect();
+        tickets.sort();
+        for ticket in tickets {
+            self.end_without_record(ticket, outcome.clone());
+        }
+    }
+
+    /// Ends the records of a lost instance.
+    pub(super) fn abandon_records(&mut self, owner: &str) {
+        for (id, joined) in self.records.abandon(owner) {
+            let outcome = Outcome::Unknown("the instance that ran it was lost".into());
+            self.tell_joined(id, joined, &outcome);
+        }
+    }
+
+    /// Copies records to keepers that are new.
+    pub(super) fn hand_records(&mut self, older: &[Candidate]) {
+        let mut copies = Vec::new();
+        for (id, owner, outcome) in self.records.iter() {
+            let before = keeper::keepers(older, record_key(id));
+            for peer in self.record_keepers(id) {
+                if peer != self.settings.name && !before.contains(&peer) {
+                    copies.push((peer, id, owner.clone(), outcome.cloned()));
+                }
+            }
+        }
+        for (peer, id, owner, outcome) in copies {
+            self.send(&peer, Message::Copy(0, id, owner));
+            if let Some(outcome) = outcome {
+                self.send(&peer, Message::Finish(id, outcome));
+            }
+        }
+    }
+}
+
+fn record_key(id: RequestId) -> u64 {
+    hash::pair(id.flow.id, id.number)
+}
--- /dev/null
+++ b/src/retry/record.rs
@@ -0,0 +1,186 @@
+/*!
+Records of requests that are not idempotent, as their keepers hold them.
+
+The first keeper of a request serialises its claims. It grants the first one
+after the second keeper has a copy, and tells all later ones what became of it.
+A record outlives any retry of a caller; when memory runs short the answers of
+old records are dropped, and what is left still forbids a second run.
+*/
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+use crate::{
+    time::Time,
+    wire::{Claimed, Outcome, RequestId},
+};
+
+/// Time that a record is kept, in milliseconds.
+pub const KEEP_MS: u64 = 5 * 60 * 1_000;
+
+/// Answers kept in all records, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Most records.
+pub const MAX_RECORDS: usize = 200_000;
+
+/// How far a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum State {
+    /// The owner may run it, or has.
+    Running,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// Record of one request.
+#[derive(Clone, Debug)]
+struct Record {
+    owner: Arc<str>,
+    state: State,
+    joined: Vec<Arc<str>>,
+}
+
+/// Records of one keeper.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    records: HashMap<RequestId, Record>,
+    order: VecDeque<(Time, RequestId)>,
+    answer_bytes: usize,
+}
+
+impl Records {
+    /// Judges a claim. [`Claimed::Granted`] means that a record was made.
+    ///
+    /// `is_first` says that the caller has not sent the request before.
+    pub fn claim(
+        &mut self,
+        id: RequestId,
+        owner: &Arc<str>,
+        is_first: bool,
+        is_live: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Claimed {
+        let Some(record) = self.records.get_mut(&id) else {
+            if !is_first {
+                return Claimed::Lost;
+            }
+            return if self.insert(id, owner, now) { Claimed::Granted } else { Claimed::Refused };
+        };
+        match &record.state {
+            State::Ended(Outcome::NotRun(_)) => {
+                record.owner = owner.clone();
+                record.state = State::Running;
+                Claimed::Granted
+            }
+            State::Ended(outcome) => Claimed::Ended(outcome.clone()),
+            State::Running if !is_live(&record.owner) => Claimed::Lost,
+            State::Running => {
+                record.joined.push(owner.clone());
+                Claimed::Joined
+            }
+        }
+    }
+
+    /// Takes a copy from the first keeper. Returns whether it is held.
+    pub fn copy(&mut self, id: RequestId, owner: &Arc<str>, now: Time) -> bool {
+        if let Some(record) = self.records.get_mut(&id) {
+            let free = record.owner == *owner || matches!(record.state, State::Ended(Outcome::NotRun(_)));
+            if free {
+                record.owner = owner.clone();
+                record.state = State::Running;
+            }
+            return free;
+        }
+        self.insert(id, owner, now)
+    }
+
+    /// Ends a request. Returns the peers that joined it.
+    pub fn finish(&mut self, id: RequestId, outcome: Outcome, now: Time) -> Vec<Arc<str>> {
+        let Some(record) = self.records.get_mut(&id) else {
+            return Vec::new();
+        };
+        if let Outcome::Done(answer) = &outcome {
+            self.answer_bytes += answer.len();
+        }
+        record.state = State::Ended(outcome);
+        let joined = std::mem::take(&mut record.joined);
+        self.expire(now);
+        joined
+    }
+
+    /// Requests whose owner was lost while they ran, with the peers that joined them.
+    pub fn abandon(&mut self, owner: &str) -> Vec<(RequestId, Vec<Arc<str>>)> {
+        let mut abandoned = Vec::new();
+        for (id, record) in &mut self.records {
+            if &*record.owner == owner && record.state == State::Running {
+                record.state = State::Ended(Outcome::Unknown("the instance that ran it was lost".into()));
+                abandoned.push((*id, std::mem::take(&mut record.joined)));
+            }
+        }
+        abandoned
+    }
+
+    /// Records that are to be copied when keepers change: id, owner, and outcome if ended.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Arc<str>, Option<&Outcome>)> {
+        self.records.iter().map(|(id, record)| match &record.state {
+            State::Running => (*id, &record.owner, None),
+            State::Ended(outcome) => (*id, &record.owner, Some(outcome)),
+        })
+    }
+
+    /// Drops old records, and answers beyond the limit.
+    pub fn expire(&mut self, now: Time) {
+        while let Some((made, id)) = self.order.front().copied() {
+            if now.since(made) < KEEP_MS {
+                break;
+            }
+            self.order.pop_front();
+            self.drop_answer(id);
+            self.records.remove(&id);
+        }
+        if self.answer_bytes <= MAX_ANSWER_BYTES {
+            return;
+        }
+        let oldest: Vec<RequestId> = self.order.iter().map(|(_, id)| *id).collect();
+        for id in oldest {
+            if self.answer_bytes <= MAX_ANSWER_BYTES {
+                break;
+            }
+            self.drop_answer(id);
+        }
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Reports whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn insert(&mut self, id: RequestId, owner: &Arc<str>, now: Time) -> bool {
+        self.expire(now);
+        if self.records.len() >= MAX_RECORDS {
+            return false;
+        }
+        let record = Record { owner: owner.clone(), state: State::Running, joined: Vec::new() };
+        self.records.insert(id, record);
+        self.order.push_back((now, id));
+        true
+    }
+
+    fn drop_answer(&mut self, id: RequestId) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        if let State::Ended(Outcome::Done(answer)) = &record.state {
+            self.answer_bytes = self.answer_bytes.saturating_sub(answer.len());
+            record.state = State::Ended(Outcome::Unknown("it ran; its answer is no longer kept".into()));
+        }
+    }
+}
--- /dev/null
+++ b/src/route/filter.rs
@@ -0,0 +1,117 @@
+/*!
+Sets of flows with no false negatives, small enough to send to every instance.
+
+A filter's length is a power of two, so that filters of different lengths unite
+without an agreement on the length: a shorter one repeats itself to the longer
+one's length and loses nothing. An exact set of the same flows takes eight bytes
+each; a filter takes one to two.
+*/
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, hash};
+
+/// Bits for each flow, before rounding up to a power of two.
+const BITS_PER_FLOW: usize = 10;
+
+/// Bits that each flow sets.
+const PROBES: u64 = 5;
+
+/// Bits in a word.
+const WORD: usize = 64;
+
+/// Longest filter taken from a peer, in words (1 MB).
+pub const MAX_WORDS: usize = 1 << 17;
+
+/// Set of flows that may also hold others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(try_from = "Vec<u64>", into = "Vec<u64>")]
+pub struct Filter {
+    words: Vec<u64>,
+}
+
+impl Filter {
+    /// Filter of some flows.
+    pub fn of(flows: &[u64]) -> Filter {
+        if flows.is_empty() {
+            return Filter::default();
+        }
+        let words = (flows.len() * BITS_PER_FLOW).div_ceil(WORD).next_power_of_two();
+        let mut filter = Filter { words: vec![0; words.min(MAX_WORDS)] };
+        for flow in flows {
+            filter.insert(*flow);
+        }
+        filter
+    }
+
+    /// Reports whether the flow may be in the set.
+    pub fn contains(&self, flow: u64) -> bool {
+        !self.words.is_empty() && self.bits(flow).all(|bit| self.words[bit / WORD] & (1 << (bit % WORD)) != 0)
+    }
+
+    /// Adds all flows of another filter.
+    pub fn unite(&mut self, other: &Filter) {
+        if other.words.is_empty() {
+            return;
+        }
+        if self.words.len() < other.words.len() {
+            self.grow(other.words.len());
+        }
+        let mask = other.words.len() - 1;
+        for (i, word) in self.words.iter_mut().enumerate() {
+            *word |= other.words[i & mask];
+        }
+    }
+
+    /// Reports whether no flow is in the set.
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    /// Size in bytes.
+    pub fn bytes(&self) -> usize {
+        self.words.len() * size_of::<u64>()
+    }
+
+    fn insert(&mut self, flow: u64) {
+        let bits: Vec<usize> = self.bits(flow).collect();
+        for bit in bits {
+            self.words[bit / WORD] |= 1 << (bit % WORD);
+        }
+    }
+
+    /// Repeats the words up to a greater power of two.
+    fn grow(&mut self, len: usize) {
+        if self.words.is_empty() {
+            self.words.resize(len, 0);
+        }
+        while self.words.len() < len {
+            self.words.extend_from_within(..);
+        }
+    }
+
+    fn bits(&self, flow: u64) -> impl Iterator<Item = usize> + use<> {
+        let mask = (self.words.len() * WORD - 1) as u64;
+        let start = hash::pair(flow, 1);
+        let step = hash::pair(flow, 2) | 1;
+        (0..PROBES).map(move |i| (start.wrapping_add(i.wrapping_mul(step)) & mask) as usize)
+    }
+}
+
+impl TryFrom<Vec<u64>> for Filter {
+    type Error = Error;
+
+    fn try_from(words: Vec<u64>) -> Result<Filter, Error> {
+        if !words.is_empty() && (!words.len().is_power_of_two() || words.len() > MAX_WORDS) {
+            return Err(Error::new("read a filter", format!("{} words", words.len())));
+        }
+        Ok(Filter { words })
+    }
+}
+
+impl From<Filter> for Vec<u64> {
+    fn from(filter: Filter) -> Vec<u64> {
+        filter.words
+    }
+}
--- /dev/null
+++ b/src/route/router.rs
@@ -0,0 +1,391 @@
+/*!
+Routing of one service on one instance.
+
+A router holds three tables: `base`, the last one that all instances had in
+force; `current`, the one in force here; and `next`, one that has been announced.
+A slot is unsettled where they differ. What is not in the local flow table is
+computed from the tables and the filters of old flows, and where that would be a
+guess the answer is [`Decision::Ask`].
+*/
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{
+    filter::Filter,
+    flow::{Flows, KeyMap},
+    table::{Member, SLOTS, Table},
+};
+use crate::{hash, time::Time};
+
+/// No target.
+const NONE: u16 = u16::MAX;
+
+/// Identity of a target between instances: hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct TargetId(#[serde(with = "postcard::fixint::le")] pub u64);
+
+impl TargetId {
+    /// Identity of a name.
+    pub fn of(name: &str) -> TargetId {
+        TargetId(hash::name(name))
+    }
+}
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// To this target.
+    Target(u16),
+    /// To this target, once the flow's keepers know.
+    Register(u16),
+    /// To the target that the flow's keepers name, or to this one.
+    Ask(u16),
+    /// Nowhere: the service has no target.
+    Nowhere,
+}
+
+/// Flows that stay on a target though the table says otherwise.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OldFlows {
+    /// Their target.
+    pub target: u16,
+    /// The flows, and some others.
+    pub filter: Filter,
+    /// When it was built.
+    pub built: Time,
+}
+
+/// Exception kept for other instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Kept {
+    target: u16,
+    at: Time,
+}
+
+/// Table with targets by their numbers in the router.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Slots {
+    numbers: Vec<u16>,
+}
+
+impl Slots {
+    fn get(&self, slot: usize) -> u16 {
+        self.numbers.get(slot).copied().unwrap_or(NONE)
+    }
+}
+
+/// Routing state of one service.
+#[derive(Clone, Debug)]
+pub struct Router {
+    names: Vec<Arc<str>>,
+    numbers: HashMap<TargetId, u16>,
+    gone: Vec<bool>,
+    base: Slots,
+    current: Slots,
+    next: Option<Slots>,
+    filters_complete: bool,
+    trusts_current: bool,
+    filters: Vec<OldFlows>,
+    flows: Flows,
+    kept: KeyMap<Kept>,
+    kept_limit: usize,
+    not_held: u64,
+}
+
+impl Router {
+    /// Router without targets that holds at most `limit` flows.
+    pub fn new(limit: usize, idle_s: u64) -> Router {
+        Router {
+            names: Vec::new(),
+            numbers: HashMap::new(),
+            gone: Vec::new(),
+            base: Slots::default(),
+            current: Slots::default(),
+            next: None,
+            filters_complete: true,
+            trusts_current: false,
+            filters: Vec::new(),
+            flows: Flows::new(limit, idle_s),
+            kept: KeyMap::default(),
+            kept_limit: limit,
+            not_held: 0,
+        }
+    }
+
+    /// Decides for the first packet of a flow.
+    pub fn open(&mut self, flow: u64, now: Time) -> Decision {
+        if let Some(target) = self.held(flow, now) {
+            return Decision::Target(target);
+        }
+        let slot = Table::slot(flow);
+        let target = self.current.get(slot);
+        if target == NONE {
+            return Decision::Nowhere;
+        }
+        if self.base.get(slot) != target || self.old_target(flow, target).is_some() {
+            return Decision::Register(target);
+        }
+        self.hold(flow, target, now);
+        Decision::Target(target)
+    }
+
+    /// Decides for a later packet of a flow.
+    pub fn follow(&mut self, flow: u64, now: Time) -> Decision {
+        if let Some(target) = self.held(flow, now) {
+            return Decision::Target(target);
+        }
+        let slot = Table::slot(flow);
+        let target = self.current.get(slot);
+        if target == NONE {
+            return Decision::Nowhere;
+        }
+        if let Some(old) = self.old_target(flow, target) {
+            return Decision::Ask(old);
+        }
+        if self.is_unsettled(slot) && !self.filters_complete {
+            return Decision::Ask(self.fallback(slot));
+        }
+        self.hold(flow, target, now);
+        Decision::Target(target)
+    }
+
+    /// Holds a flow whose target was agreed with its keepers.
+    pub fn hold(&mut self, flow: u64, target: u16, now: Time) {
+        if !self.flows.insert(flow, target, now) {
+            self.not_held += 1;
+        }
+    }
+
+    /// Forgets a flow that has ended.
+    pub fn close(&mut self, flow: u64) {
+        self.flows.remove(flow);
+        self.kept.remove(&flow);
+    }
+
+    /// Target that this instance knows for a flow, as holder or as keeper.
+    pub fn known(&self, flow: u64) -> Option<u16> {
+        self.kept.get(&flow).map(|kept| kept.target).or_else(|| self.flows.get(flow))
+    }
+
+    /// Keeps an exception for others. The first one stands; returns it, or
+    /// nothing if there is no room.
+    pub fn keep(&mut self, flow: u64, target: u16, now: Time) -> Option<u16> {
+        if let Some(known) = self.known(flow).filter(|known| !self.is_gone(*known)) {
+            self.kept.insert(flow, Kept { target: known, at: now });
+            return Some(known);
+        }
+        if self.kept.len() >= self.kept_limit {
+            return None;
+        }
+        self.kept.insert(flow, Kept { target, at: now });
+        Some(target)
+    }
+
+    /// Exceptions that this instance keeps.
+    pub fn kept(&self) -> impl Iterator<Item = (u64, u16)> + '_ {
+        self.kept.iter().map(|(flow, kept)| (*flow, kept.target))
+    }
+
+    /// Takes a table into force at once, as at the start.
+    pub fn reset(&mut self, members: &[Member]) {
+        self.current = self.slots(members);
+        self.base = self.current.clone();
+        self.next = None;
+        self.filters_complete = true;
+    }
+
+    /// Sets the table that some instances may still have in force.
+    pub fn set_base(&mut self, members: &[Member]) {
+        self.base = self.slots(members);
+        self.filters_complete = self.base == self.current;
+    }
+
+    /// Says which table a flow goes by that nobody knows: the one in force, as
+    /// others had settled on it, or the older one.
+    pub fn trust_current(&mut self, trusts: bool) {
+        self.trusts_current = trusts;
+    }
+
+    /// Announces the next table.
+    pub fn announce(&mut self, members: &[Member]) {
+        let next = self.slots(members);
+        self.filters_complete = false;
+        self.next = Some(next);
+    }
+
+    /// Takes the announced table into force.
+    pub fn take_effect(&mut self) {
+        if let Some(next) = self.next.take() {
+            self.current = next;
+        }
+    }
+
+    /// Flows held on other targets than the computed one, by target, that no
+    /// filter covers yet.
+    pub fn old_flows(&self) -> Vec<(u16, Vec<u64>)> {
+        let mut by_target: HashMap<u16, Vec<u64>> = HashMap::new();
+        for (flow, target) in self.flows.iter() {
+            if self.current.get(Table::slot(flow)) == target || self.is_gone(target) {
+                continue;
+            }
+            if !self.is_covered(flow, target) {
+                by_target.entry(target).or_default().push(flow);
+            }
+        }
+        let mut old: Vec<_> = by_target.into_iter().collect();
+        old.sort_by_key(|(target, _)| *target);
+        old
+    }
+
+    /// Flows that more than one filter claims, which only keepers can resolve.
+    pub fn ambiguous(&self) -> Vec<(u64, u16)> {
+        let claimed = |(flow, target): &(u64, u16)| {
+            let computed = self.current.get(Table::slot(*flow));
+            let claims = |old: &&OldFlows| old.target != computed && old.filter.contains(*flow);
+            *target != computed && self.filters.iter().filter(claims).any(|old| old.target != *target)
+        };
+        self.flows.iter().filter(claimed).collect()
+    }
+
+    /// Adds a complete filter of the old flows of a target.
+    pub fn add_filter(&mut self, target: u16, filter: Filter, now: Time) {
+        let known = |old: &OldFlows| old.target == target && old.filter == filter;
+        if !filter.is_empty() && !self.filters.iter().any(known) {
+            self.filters.push(OldFlows { target, filter, built: now });
+        }
+    }
+
+    /// Notes that all filters of the table in force are here.
+    pub fn complete_filters(&mut self) {
+        self.filters_complete = self.next.is_none();
+    }
+
+    /// Ends a change: every instance has the table and the filters.
+    pub fn settle(&mut self) {
+        self.base = self.current.clone();
+        self.filters_complete = true;
+        self.trusts_current = false;
+        let computed = |flow: u64, target: u16| self.current.get(Table::slot(flow)) == target;
+        let claimed = |flow: u64| self.filters.iter().any(|old| old.filter.contains(flow));
+        self.kept.retain(|flow, kept| !computed(*flow, kept.target) || claimed(*flow));
+    }
+
+    /// Drops what has been idle too long: flows, exceptions, filters.
+    pub fn expire(&mut self, now: Time, idle_s: u64) {
+        let idle_ms = idle_s * 1_000;
+        self.flows.set_idle(idle_s);
+        self.flows.expire(now);
+        self.kept.retain(|_, kept| now.since(kept.at) <= idle_ms);
+        self.filters.retain(|old| now.since(old.built) <= idle_ms);
+    }
+
+    /// Drops everything that leads to a target that is gone. Returns the flows dropped.
+    pub fn drop_target(&mut self, target: u16) -> usize {
+        if let Some(gone) = self.gone.get_mut(usize::from(target)) {
+            *gone = true;
+        }
+        self.kept.retain(|_, kept| kept.target != target);
+        self.filters.retain(|old| old.target != target);
+        self.flows.drop_target(target)
+    }
+
+    /// Notes that a target which was gone is back.
+    pub fn restore_target(&mut self, target: u16) {
+        if let Some(gone) = self.gone.get_mut(usize::from(target)) {
+            *gone = false;
+        }
+    }
+
+    /// Reports whether a target is gone.
+    pub fn is_gone(&self, target: u16) -> bool {
+        self.gone.get(usize::from(target)).copied().unwrap_or(false)
+    }
+
+    /// Number of a target, given to it at first sight.
+    pub fn number(&mut self, name: &Arc<str>) -> u16 {
+        let id = TargetId::of(name);
+        if let Some(number) = self.numbers.get(&id) {
+            return *number;
+        }
+        let number = self.names.len() as u16;
+        self.names.push(name.clone());
+        self.gone.push(false);
+        self.numbers.insert(id, number);
+        number
+    }
+
+    /// Number of a target that a peer named.
+    pub fn find(&self, id: TargetId) -> Option<u16> {
+        self.numbers.get(&id).copied()
+    }
+
+    /// Name of a target.
+    pub fn name(&self, target: u16) -> Option<&Arc<str>> {
+        self.names.get(usize::from(target))
+    }
+
+    /// Identity of a target.
+    pub fn id(&self, target: u16) -> Option<TargetId> {
+        self.name(target).map(|name| TargetId::of(name))
+    }
+
+    /// Filters of old flows.
+    pub fn filters(&self) -> &[OldFlows] {
+        &self.filters
+    }
+
+    /// Flows held.
+    pub fn flows(&self) -> &Flows {
+        &self.flows
+    }
+
+    /// Number of unsettled slots.
+    pub fn unsettled(&self) -> usize {
+        (0..SLOTS).filter(|slot| self.is_unsettled(*slot)).count()
+    }
+
+    /// Number of exceptions kept for others.
+    pub fn kept_len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Flows that found no room.
+    pub fn not_held(&self) -> u64 {
+        self.not_held
+    }
+
+    fn held(&mut self, flow: u64, now: Time) -> Option<u16> {
+        self.flows.touch(flow, now)
+    }
+
+    fn is_unsettled(&self, slot: usize) -> bool {
+        let current = self.current.get(slot);
+        let announced = self.next.as_ref().is_some_and(|next| next.get(slot) != current);
+        announced || self.base.get(slot) != current
+    }
+
+    fn fallback(&self, slot: usize) -> u16 {
+        let base = self.base.get(slot);
+        if self.trusts_current || base == NONE || self.is_gone(base) { self.current.get(slot) } else { base }
+    }
+
+    fn old_target(&self, flow: u64, computed: u16) -> Option<u16> {
+        let claims = |old: &&OldFlows| old.target != computed && old.filter.contains(flow);
+        self.filters.iter().rev().find(claims).map(|old| old.target)
+    }
+
+    fn is_covered(&self, flow: u64, target: u16) -> bool {
+        self.filters.iter().any(|old| old.target == target && old.filter.contains(flow))
+    }
+
+    fn slots(&mut self, members: &[Member]) -> Slots {
+        let table = Table::new(members);
+        let numbers: Vec<u16> = table.names().iter().map(|name| self.number(name)).collect();
+        if numbers.is_empty() {
+            return Slots::default();
+        }
+        let number = |slot| table.slot_index(slot).map_or(NONE, |index| numbers[index]);
+        Slots { numbers: (0..SLOTS).map(number).collect() }
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,278 @@
+/*!
+Messages between instances, and their bytes.
+
+A frame is one version byte and a list of messages in postcard's encoding. Bytes
+from a peer are checked when they are read: lengths, digests and filters that
+cannot be are an [`Error`], never a panic.
+
+# Example
+
+```
+use ragwortlb::wire::{Frame, Message};
+
+let frame = Frame { sender: "pa-1".into(), messages: vec![Message::WantHead] };
+let bytes = frame.to_bytes();
+assert_eq!(Frame::from_bytes(&bytes).unwrap(), frame);
+assert!(Frame::from_bytes(&bytes[1..]).is_err());
+```
+*/
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Error,
+    config::{
+        File, Folder,
+        revision::{Bundle, Digest, Head, Manifest},
+    },
+    member::Heartbeat,
+    route::{change::Version, filter::Filter, router::TargetId},
+};
+
+/// Version of the encoding.
+const VERSION: u8 = 1;
+
+/// Longest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+/// Identity of a service between instances: hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct ServiceId(#[serde(with = "postcard::fixint::le")] pub u32);
+
+impl ServiceId {
+    /// Identity of a name.
+    pub fn of(name: &str) -> ServiceId {
+        ServiceId(crate::hash::name(name) as u32)
+    }
+}
+
+/// Flow of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct Flow {
+    /// Service.
+    pub service: ServiceId,
+    /// Hash of the flow's key.
+    #[serde(with = "postcard::fixint::le")]
+    pub id: u64,
+}
+
+/// Request of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct RequestId {
+    /// Flow.
+    pub flow: Flow,
+    /// Number that the caller gave.
+    pub number: u64,
+}
+
+/// Filter of the old flows of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Old {
+    /// Service.
+    pub service: ServiceId,
+    /// Target that the flows stay on.
+    pub target: TargetId,
+    /// The flows.
+    pub filter: Filter,
+}
+
+/// One round of collecting filters: a version, and who takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct Round {
+    /// Version in force.
+    pub version: Version,
+    /// Hash of the names of all participants.
+    #[serde(with = "postcard::fixint::le")]
+    pub participants: u64,
+}
+
+/// Outcome of a request as instances tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Outcome {
+    /// Whole answer of the target.
+    Done(Arc<[u8]>),
+    /// The target's own error.
+    Failed(Arc<str>),
+    /// It did not run.
+    NotRun(Arc<str>),
+    /// It may have run.
+    Unknown(Arc<str>),
+}
+
+/// What one instance tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Message {
+    /// Heartbeat.
+    Heartbeat(Heartbeat),
+    /// Asks for the head in force.
+    WantHead,
+    /// Head in force and its manifest.
+    Head(Head, Manifest),
+    /// Asks for documents.
+    WantFiles(Vec<Digest>),
+    /// Content of documents.
+    Files(Vec<Vec<u8>>),
+    /// States of targets that are not serving.
+    Targets(Vec<TargetState>),
+    /// Asks a keeper to keep an exception.
+    Register(u32, Flow, TargetId),
+    /// Keeper's answer: the target that stands.
+    Registered(u32, Option<TargetId>),
+    /// Asks a keeper for a flow.
+    Query(u32, Flow),
+    /// Keeper's answer.
+    Found(u32, Option<TargetId>),
+    /// Exceptions handed to a new keeper.
+    Keep(Vec<(Flow, TargetId)>),
+    /// A flow has ended.
+    Close(Flow),
+    /// Old flows that the sender holds, for the instance that unites them.
+    Part(Round, Vec<Old>),
+    /// United old flows of all participants.
+    Union(Round, Vec<Old>),
+    /// Asks a peer for what a joining instance needs.
+    WantSnapshot,
+    /// What a joining instance needs.
+    Snapshot(Snapshot),
+    /// Asks the first keeper of a request for leave to run it.
+    Claim(u32, RequestId, bool),
+    /// Keeper's answer to a claim.
+    Claimed(u32, Claimed),
+    /// Copy of a record for the second keeper.
+    Copy(u32, RequestId, Arc<str>),
+    /// Second keeper's answer.
+    Copied(u32, bool),
+    /// A claimed request has ended.
+    Finish(RequestId, Outcome),
+    /// Asks a home instance for a slot: service, one target or any, milliseconds left.
+    AskSlot(u32, ServiceId, Option<TargetId>, u32),
+    /// A slot is lent.
+    Grant(u32, ServiceId, TargetId),
+    /// A lent slot is free again, or the question is withdrawn.
+    Release(u32),
+    /// No slot is lent.
+    Deny(u32),
+}
+
+/// State of a target that is not serving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
+pub struct TargetState {
+    /// Service.
+    pub service: ServiceId,
+    /// Target.
+    pub target: TargetId,
+    /// Counter of its states: even while serving, odd while leaving.
+    pub epoch: u32,
+    /// Whether it is gone for good.
+    pub gone: bool,
+}
+
+/// Keeper's answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Claimed {
+    /// The request may run.
+    Granted,
+    /// It runs or has run; its outcome will follow.
+    Joined,
+    /// Its outcome.
+    Ended(Outcome),
+    /// An earlier attempt may have run and nothing is known of it.
+    Lost,
+    /// The instance is not the first keeper, or no second one answered.
+    Refused,
+}
+
+/// What a joining instance takes over from a serving one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Snapshot {
+    /// Version in force at the sender.
+    pub version: Version,
+    /// Whether it is settled there.
+    pub settled: bool,
+    /// Filters of old flows.
+    pub old: Vec<Old>,
+}
+
+/// Messages of one instance, sent together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Frame {
+    /// Name of the sender.
+    pub sender: Arc<str>,
+    /// Messages in order.
+    pub messages: Vec<Message>,
+}
+
+impl Frame {
+    /// Encodes the frame.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![VERSION]).expect("every message has an encoding")
+    }
+
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// Bytes that are no frame of this version.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Frame, Error> {
+        let fail = |what: String| Error::new("read a peer's frame", what);
+        if bytes.len() > MAX_FRAME_BYTES {
+            return Err(fail(format!("{} bytes, over the limit of {MAX_FRAME_BYTES}", bytes.len())));
+        }
+        match bytes.split_first() {
+            Some((&VERSION, rest)) => decode(rest).map_err(|error| fail(error.to_string())),
+            Some((version, _)) => Err(fail(format!("version {version}, expected {VERSION}"))),
+            None => Err(fail("no bytes".to_owned())),
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<Frame, postcard::Error> {
+    let (frame, rest) = postcard::take_from_bytes(bytes)?;
+    if !rest.is_empty() {
+        return Err(postcard::Error::DeserializeBadEncoding);
+    }
+    Ok(frame)
+}
+
+impl Message {
+    /// Size in a frame, in bytes.
+    pub fn bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or(0)
+    }
+}
+
+impl From<&Bundle> for Message {
+    fn from(bundle: &Bundle) -> Message {
+        Message::Head(bundle.head.clone(), Manifest::of(&bundle.folder))
+    }
+}
+
+/// Joins a manifest with the content of its documents.
+///
+/// # Errors
+///
+/// A document that is missing, or a head that names another manifest.
+pub fn assemble(head: Head, manifest: &Manifest, content: &[(Digest, Vec<u8>)]) -> Result<Bundle, Error> {
+    let mut files = Vec::new();
+    for document in &manifest.files {
+        let found = content.iter().find(|(digest, _)| *digest == document.digest);
+        let Some((_, bytes)) = found else {
+            return Err(Error::new("join a revision", format!("document {} is missing", document.name)));
+        };
+        files.push(File::new(document.name.clone(), bytes.clone()));
+    }
+    Bundle::new(head, Folder::new(files))
+}
