--- a/src/node.rs
+++ b/src/node.rs
@@ -198,6 +198,16 @@
         self.roster.own().state == member::State::Serving
     }
 
+    /// What the instance does.
+    pub fn state(&self) -> member::State {
+        self.roster.own().state
+    }
+
+    /// Accepted revision that is known.
+    pub fn revision(&self) -> u64 {
+        self.lineage.revision()
+    }
+
     /// Name of the service at an address.
     pub fn service_name(&self, address: SocketAddr) -> Option<Arc<str>> {
         self.by_address.get(&address).map(|index| self.services[*index].name.clone())
