--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -10,7 +10,12 @@
 };
 use crate::{
     member::State,
-    route::{change::Step, router::TargetId, table::Member},
+    route::{
+        change::{Peer, Progress, Step},
+        filter::{Filter, SlotSet},
+        router::{OldFlows, TargetId},
+        table::Member,
+    },
     wire::{Message, Old, Round, ServiceId, TargetState},
 };
 
@@ -31,8 +36,6 @@
             self.start_with_told();
             return;
         }
-        let done = |peer: &crate::route::change::Peer| peer.progress.ready == version;
-        self.is_late = self.roster.progress().iter().any(done);
         self.tracker.announce(version, self.now);
         for service in &mut self.services {
             service.router.announce(&self.told.members(&service.name));
@@ -43,7 +46,6 @@
     /// Takes the told inputs into force at once, as before serving.
     pub(super) fn start_with_told(&mut self) {
         self.inputs = self.told.clone();
-        self.base = self.told.clone();
         self.update_services();
         for service in &mut self.services {
             service.router.reset(&self.told.members(&service.name));
@@ -59,8 +61,13 @@
         }
         self.forget_lagging();
         let peers = self.roster.progress();
+        self.trust_settled_peers(&peers);
+        let before = self.tracker.progress();
         match self.tracker.step(&peers, self.now) {
-            Some(Step::TakeEffect) => self.take_effect(),
+            Some(Step::TakeEffect) => {
+                self.note_missed(before, &peers);
+                self.take_effect();
+            }
             Some(Step::Collect) => self.collect(),
             Some(Step::Settle) => self.settle(),
             None => {}
@@ -68,16 +75,12 @@
     }
 
     fn take_effect(&mut self) {
-        if self.tracker_was_settled() {
-            self.base = self.inputs.clone();
-        }
         self.remember_inputs();
         self.inputs = self.told.clone();
         self.update_services();
-        let late = self.is_late;
         for service in &mut self.services {
             service.router.take_effect();
-            service.router.trust_current(late);
+            service.router.trust_current(false);
         }
         self.assign_homes();
         self.collector.clear();
@@ -85,8 +88,27 @@
         self.greet_now();
     }
 
-    fn tracker_was_settled(&self) -> bool {
-        self.base.version() == self.inputs.version()
+    /// Goes by the table in force for flows that nobody knows, once this instance
+    /// has the filters or a peer has ended the change.
+    fn trust_settled_peers(&mut self, peers: &[Peer]) {
+        let progress = self.tracker.progress();
+        let ended = |peer: &Peer| peer.progress.settled == progress.effective;
+        let is_open = progress.settled != progress.effective && progress.known == progress.effective;
+        let trusts = progress.ready == progress.effective || peers.iter().any(ended);
+        if is_open && trusts {
+            for service in &mut self.services {
+                service.router.trust_current(true);
+            }
+        }
+    }
+
+    /// Notes that others ended a change whose filters are not here, while the next
+    /// one begins.
+    fn note_missed(&mut self, before: Progress, peers: &[Peer]) {
+        let ended = |peer: &Peer| peer.progress.settled == before.effective;
+        if before.ready != before.effective && peers.iter().any(ended) {
+            self.missed = Some(before.effective);
+        }
     }
 
     fn remember_inputs(&mut self) {
@@ -97,12 +119,10 @@
     }
 
     fn settle(&mut self) {
-        self.base = self.inputs.clone();
         for service in &mut self.services {
             service.router.settle();
         }
         self.lagging.clear();
-        self.is_late = false;
         self.notice(Notice::TablesSettled(self.inputs.version().0));
     }
 
@@ -260,12 +280,12 @@
         let mut parts: BTreeMap<Arc<str>, Vec<Old>> = BTreeMap::new();
         for service in &self.services {
             for (number, flows) in service.router.old_flows() {
-                let Some(target) = service.router.id(number) else {
+                let Some(target) = service.router.name(number).cloned() else {
                     continue;
                 };
-                let filter = crate::route::filter::Filter::of(&flows);
-                let owner = super::collector::owner(participants, service.id, target);
-                parts.entry(owner).or_default().push(Old { service: service.id, target, filter });
+                let (slots, filter) = (SlotSet::of(&flows), Filter::of(&flows));
+                let owner = super::collector::owner(participants, service.id, &target);
+                parts.entry(owner).or_default().push(Old { service: service.id, target, slots, filter });
             }
         }
         parts
@@ -291,13 +311,13 @@
                 self.send(&peer, Message::Union(round, union.clone()));
             }
         }
+        if self.missed.is_some() {
+            return;
+        }
         if let Some((round, unions)) = self.collector.finish_unions() {
             self.add_old(&unions);
-            for service in &mut self.services {
-                service.router.complete_filters();
-            }
-            self.tracker.complete(round.version);
             self.register_ambiguous();
+            self.tracker.complete(round.version);
             self.greet_now();
         }
     }
@@ -305,13 +325,14 @@
     /// Adds filters of old flows that came from others.
     pub(super) fn add_old(&mut self, old: &[Old]) {
         let now = self.now;
-        for Old { service, target, filter } in old {
+        for Old { service, target, slots, filter } in old {
             let Some(index) = self.by_id.get(service).copied() else {
                 continue;
             };
-            let router = &mut self.services[index].router;
-            if let Some(number) = router.find(*target) {
-                router.add_filter(number, filter.clone(), now);
+            if let Some(number) = self.services[index].old_target(target, now) {
+                let (slots, filter) = (slots.clone(), filter.clone());
+                let router = &mut self.services[index].router;
+                router.add_filter(OldFlows { target: number, slots, filter, built: now });
             }
         }
     }
@@ -332,7 +353,7 @@
         };
         self.lagging.insert(peer.clone());
         for service in &mut self.services {
-            service.router.set_base(&older.members(&service.name));
+            service.router.set_base(&older.members(&service.name), &SlotSet::default());
             service.router.trust_current(true);
         }
         self.tracker.reopen();
--- a/src/node/collector.rs
+++ b/src/node/collector.rs
@@ -15,7 +15,6 @@
 
 use crate::{
     hash,
-    route::router::TargetId,
     time::Time,
     wire::{Old, Round, ServiceId},
 };
@@ -32,8 +31,8 @@
 }
 
 /// Participant that unites the filters of a target.
-pub(super) fn owner(participants: &[Arc<str>], service: ServiceId, target: TargetId) -> Arc<str> {
-    let key = hash::pair(target.0, u64::from(service.0));
+pub(super) fn owner(participants: &[Arc<str>], service: ServiceId, target: &str) -> Arc<str> {
+    let key = hash::pair(hash::name(target), u64::from(service.0));
     let score = |name: &&Arc<str>| hash::pair(key, hash::name(name));
     participants.iter().max_by_key(score).cloned().expect("an instance takes part itself")
 }
@@ -163,11 +162,14 @@
 
 /// Unites filters of the same target.
 fn unite<'a>(parts: impl Iterator<Item = &'a Old>) -> Vec<Old> {
-    let mut united: BTreeMap<(ServiceId, TargetId), Old> = BTreeMap::new();
+    let mut united: BTreeMap<(ServiceId, Arc<str>), Old> = BTreeMap::new();
     for old in parts {
-        let key = (old.service, old.target);
+        let key = (old.service, old.target.clone());
         match united.get_mut(&key) {
-            Some(sum) => sum.filter.unite(&old.filter),
+            Some(sum) => {
+                sum.filter.unite(&old.filter);
+                sum.slots.unite(&old.slots);
+            }
             None => {
                 united.insert(key, old.clone());
             }
--- a/src/node/inputs.rs
+++ b/src/node/inputs.rs
@@ -96,6 +96,11 @@
     format!("{name}@{address}").into()
 }
 
+/// Address in the name of a target in tables.
+pub(super) fn key_address(key: &str) -> Option<SocketAddr> {
+    key.rsplit_once('@')?.1.parse().ok()
+}
+
 /// Finds the configured target of a state.
 pub(super) fn known_target(config: &Config, key: StateKey) -> Option<(Arc<str>, Arc<str>)> {
     let (service, id) = key;
--- a/src/node/meeting.rs
+++ b/src/node/meeting.rs
@@ -5,16 +5,21 @@
 use super::{
     Node,
     action::{Action, Notice},
+    service::Service,
 };
 use crate::{
     hash,
-    member::{Change, Heartbeat, State},
-    wire::{Message, Old, Snapshot},
+    member::{Change, Digest, Heartbeat, State},
+    route::table::Member,
+    wire::{Base, Message, Old, Snapshot},
 };
 
 /// Time in which a starting instance looks for serving peers, in milliseconds.
 const ALONE_MS: u64 = 2_000;
 
+/// Time for which former keepers are asked too, in milliseconds.
+const OVERLAP_MS: u64 = 3_000;
+
 /// Time between questions for a snapshot, in milliseconds.
 const SNAPSHOT_MS: u64 = 500;
 
@@ -24,9 +29,12 @@
 impl Node {
     /// Takes the steps of membership that are due.
     pub(super) fn meet(&mut self) {
+        let now = self.now;
+        self.older_candidates.retain(|(until, _)| now.since(*until) < OVERLAP_MS);
         let changes = self.roster.tick(self.now);
         self.take_changes(changes);
         self.join_if_possible();
+        self.ask_to_catch_up();
         self.leave_if_possible();
         self.tell_own();
         for (to, heartbeat) in self.roster.beats(self.now) {
@@ -123,6 +131,7 @@
             return;
         }
         let older = std::mem::replace(&mut self.candidates, candidates);
+        self.older_candidates.push((self.now, older.clone()));
         self.assign_homes();
         self.hand_exceptions(&older);
         self.hand_records(&older);
@@ -141,12 +150,7 @@
             }
             return;
         }
-        if self.now >= self.next_snapshot {
-            self.next_snapshot = self.now + SNAPSHOT_MS;
-            let turn = self.now.0 / SNAPSHOT_MS;
-            let peer = &serving[turn as usize % serving.len()];
-            self.send(peer, Message::WantSnapshot);
-        }
+        self.ask_snapshot(&serving);
     }
 
     fn start_serving(&mut self) {
@@ -158,20 +162,47 @@
         if !self.takes_part() {
             return;
         }
+        let snapshot = Snapshot {
+            version: self.tracker.progress().effective,
+            settled: self.tracker.is_settled(),
+            ended: self.tracker.progress().settled,
+            bases: self.bases(),
+            old: self.old(),
+        };
+        self.send(peer, Message::Snapshot(snapshot));
+    }
+
+    /// Filters of old flows that count.
+    fn old(&self) -> Vec<Old> {
         let mut old = Vec::new();
         for service in &self.services {
-            for filter in service.router.filters() {
-                if let Some(target) = service.router.id(filter.target) {
-                    old.push(Old { service: service.id, target, filter: filter.filter.clone() });
+            for flows in service.router.filters() {
+                if let Some(target) = service.router.name(flows.target).cloned() {
+                    let (slots, filter) = (flows.slots.clone(), flows.filter.clone());
+                    old.push(Old { service: service.id, target, slots, filter });
                 }
             }
         }
-        let snapshot =
-            Snapshot { version: self.tracker.progress().effective, settled: self.tracker.is_settled(), old };
-        self.send(peer, Message::Snapshot(snapshot));
+        old
+    }
+
+    /// Tables that some instances may still have in force.
+    fn bases(&self) -> Vec<Base> {
+        let open = self.services.iter().filter(|service| service.router.unsettled() > 0);
+        let base = |service: &Service| {
+            let members = service.router.base_members().iter();
+            let members = members.map(|member| (member.name.clone(), member.weight)).collect();
+            let unsettled = service.router.unsettled_slots().clone();
+            Base { service: service.id, members, unsettled }
+        };
+        open.map(base).collect()
     }
 
     pub(super) fn take_snapshot(&mut self, _sender: &Arc<str>, snapshot: Snapshot) {
+        if self.takes_part() {
+            self.catch_up(&snapshot);
+            return;
+        }
         if self.roster.own().state != State::Joining || snapshot.version != self.told.version() {
             return;
         }
@@ -179,13 +210,81 @@
         if !snapshot.settled && waited < SETTLED_MS {
             return;
         }
-        self.add_old(&snapshot.old);
+        self.use_old(&snapshot.old);
         if !snapshot.settled {
+            self.set_bases(&snapshot.bases);
             self.tracker.join(snapshot.version);
         }
         self.start_serving();
     }
 
+    fn use_old(&mut self, old: &[Old]) {
+        self.add_old(old);
+        for service in &mut self.services {
+            service.router.use_filters();
+        }
+    }
+
+    /// Takes over the filters of a change that ended among the others before
+    /// this instance took part in it.
+    fn catch_up(&mut self, snapshot: &Snapshot) {
+        let progress = self.tracker.progress();
+        if self.missed == Some(snapshot.ended) && snapshot.version == progress.effective {
+            self.missed = None;
+            self.use_old(&snapshot.old);
+            self.set_bases(&snapshot.bases);
+            return;
+        }
+        if !snapshot.settled || snapshot.version != progress.effective || progress.ready == progress.effective
+        {
+            return;
+        }
+        self.add_old(&snapshot.old);
+        self.register_ambiguous();
+        self.tracker.complete(snapshot.version);
+    }
+
+    /// Asks for the filters of a change that all others have ended.
+    fn ask_to_catch_up(&mut self) {
+        let progress = self.tracker.progress();
+        let is_behind = self.takes_part() && progress.ready != progress.effective;
+        if !is_behind || self.now < self.next_snapshot {
+            return;
+        }
+        let version = self.missed.unwrap_or(progress.effective);
+        let ended = |digest: &&Digest| digest.progress.settled == version;
+        let peers: Vec<Arc<str>> =
+            self.roster.serving().filter(ended).map(|digest| digest.name.clone()).collect();
+        if peers.is_empty() {
+            return;
+        }
+        self.ask_snapshot(&peers);
+    }
+
+    fn ask_snapshot(&mut self, peers: &[Arc<str>]) {
+        if self.now >= self.next_snapshot {
+            self.next_snapshot = self.now + SNAPSHOT_MS;
+            let turn = self.now.0 / SNAPSHOT_MS;
+            let peer = &peers[turn as usize % peers.len()];
+            self.send(peer, Message::WantSnapshot);
+        }
+    }
+
+    fn set_bases(&mut self, bases: &[Base]) {
+        for base in bases {
+            let Some(index) = self.by_id.get(&base.service).copied() else {
+                continue;
+            };
+            let members = base.members.iter().map(|(name, weight)| Member::new(name.clone(), *weight));
+            let members: Vec<Member> = members.collect();
+            let now = self.now;
+            for member in &members {
+                self.services[index].old_target(&member.name, now);
+            }
+            self.services[index].router.set_base(&members, &base.unsettled);
+        }
+    }
+
     fn leave_if_possible(&mut self) {
         let Some(since) = self.draining else {
             return;
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -86,12 +86,18 @@
         self.questions.values_mut().find(|question| same(&question.topic))
     }
 
-    /// Other instances that keep a flow, and whether this one does.
+    /// Other instances that keep a flow, and whether this one does. Those of a
+    /// moment ago count too, as not all instances see a change of keepers at once.
     fn keepers(&self, flow: Flow) -> (Vec<Arc<str>>, bool) {
-        let mut names = keeper::keepers(&self.candidates, flow.id);
-        let count = names.len();
-        names.retain(|name| *name != self.settings.name);
-        let own = names.len() < count;
+        let older = self.older_candidates.iter().map(|(_, candidates)| candidates);
+        let mut names = Vec::new();
+        for candidates in older.chain([&self.candidates]) {
+            names.extend(keeper::keepers(candidates, flow.id));
+        }
+        names.sort();
+        names.dedup();
+        let own = names.contains(&self.settings.name);
+        names.retain(|name| *name != self.settings.name && self.roster.is_live(name));
         (names, own)
     }
 
@@ -177,24 +183,37 @@
     }
 
     pub(super) fn look_up_for(&mut self, sender: &Arc<str>, question: u32, flow: Flow) {
+        let is_settled = self.tracker.is_settled();
+        let mut is_held = false;
         let found = self.router_of(flow).and_then(|router| {
-            let target = router.known(flow.id)?;
-            router.id(target)
+            let known = router.known(flow.id);
+            is_held = known.is_some();
+            let computed = || router.computed(flow.id).filter(|_| is_settled);
+            router.id(known.or_else(computed)?)
         });
-        self.send(sender, Message::Found(question, found));
+        self.send(sender, Message::Found(question, found, is_held));
     }
 
-    pub(super) fn take_found(&mut self, sender: &Arc<str>, number: u32, found: Option<TargetId>) {
+    pub(super) fn take_found(
+        &mut self,
+        sender: &Arc<str>,
+        number: u32,
+        found: Option<TargetId>,
+        is_held: bool,
+    ) {
         let done = self.answered(number, sender);
         let Some(Topic::Query(flow, fallback)) = self.questions.get(&number).map(|q| q.topic.clone()) else {
             return;
         };
-        let known = self.known_target(flow, found);
-        if known.is_none() && !done {
-            return;
-        }
-        if let Some(question) = self.questions.remove(&number) {
-            self.end_query(flow, known, fallback, question.waiting);
+        let target = self.known_target(flow, found);
+        let known = target.filter(|_| is_held);
+        let fallback = target.unwrap_or(fallback);
+        if known.is_some() || done {
+            if let Some(question) = self.questions.remove(&number) {
+                self.end_query(flow, known, fallback, question.waiting);
+            }
+        } else if let Some(question) = self.questions.get_mut(&number) {
+            question.topic = Topic::Query(flow, fallback);
         }
     }
 
@@ -359,3 +378,19 @@
         }
     }
 }
+
+impl Node {
+    /// Debug: all that is known of a flow.
+    pub fn debug_flow(&self, id: u64) -> String {
+        let s = &self.services[0];
+        let flow = Flow { service: s.id, id };
+        format!(
+            "{} {:?} keepers {:?} lag {:?} {}",
+            self.settings.name,
+            self.tracker.progress(),
+            self.keepers(flow),
+            self.lagging,
+            s.router.debug_flow(id)
+        )
+    }
+}
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Number of a target by its name in tables; one that is not configured any
+    /// more is added as leaving.
+    pub(super) fn old_target(&mut self, key: &Arc<str>, now: Time) -> Option<u16> {
+        let address = inputs::key_address(key)?;
+        let number = self.router.number(key);
+        let gone = Target { key: key.clone(), address, slots: 0, since: now, leaving_since: Some(now) };
+        self.targets.entry(number).or_insert(gone);
+        Some(number)
+    }
+
     /// Computes the homes of all slots anew.
     pub(super) fn assign_homes(&mut self, instances: &[Arc<str>], own: &str) {
         let units = self.targets.iter().flat_map(|(number, target)| {
--- a/src/route/change.rs
+++ b/src/route/change.rs
@@ -28,6 +28,9 @@
 /// Time for the flows of a lost peer to show themselves, in milliseconds.
 pub const GRACE_MS: u64 = 30_000;
 
+/// Time for the last registrations to arrive before a change ends, in milliseconds.
+pub const SETTLE_MS: u64 = 300;
+
 /// Version of the inputs of all tables: a hash of configuration and targets' states.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Deserialize, Serialize)]
@@ -43,6 +46,8 @@
     pub effective: Version,
     /// Version whose filters it has.
     pub ready: Version,
+    /// Version that it knows all others to be ready for.
+    pub settled: Version,
 }
 
 /// A live peer's progress.
@@ -69,9 +74,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     progress: Progress,
-    settled: Version,
     told_at: Time,
     lost_at: Option<Time>,
+    ready_since: Option<Time>,
 }
 
 impl Tracker {
@@ -82,19 +87,17 @@
 
     /// Reports whether no change is under way.
     pub fn is_settled(&self) -> bool {
-        self.settled == self.progress.known
+        self.progress.settled == self.progress.known
     }
 
     /// Starts with a version in force.
     pub fn reset(&mut self, version: Version) {
-        self.progress = Progress { known: version, effective: version, ready: version };
-        self.settled = version;
+        self.progress = Progress { known: version, effective: version, ready: version, settled: version };
     }
 
     /// Starts in the midst of a change: in force, but without the filters.
     pub fn join(&mut self, version: Version) {
-        self.progress = Progress { known: version, effective: version, ready: Version::default() };
-        self.settled = Version::default();
+        self.progress = Progress { known: version, effective: version, ..Progress::default() };
     }
 
     /// Learns a version.
@@ -111,7 +114,7 @@
     /// Opens the change to the version in force again, for a peer that lags.
     pub fn reopen(&mut self) {
         self.progress.ready = Version::default();
-        self.settled = Version::default();
+        self.progress.settled = Version::default();
     }
 
     /// Notes that a peer was lost without a word.
@@ -128,7 +131,12 @@
 
     /// Says which step is due, given all live peers.
     pub fn step(&mut self, peers: &[Peer], now: Time) -> Option<Step> {
-        let Progress { known, effective, ready } = self.progress;
+        let Progress { known, effective, ready, settled } = self.progress;
+        let ended = |peer: &Peer| peer.progress.settled == effective;
+        if settled != effective && ready == effective && peers.iter().any(ended) {
+            self.progress.settled = effective;
+            return Some(Step::Settle);
+        }
         if known != effective {
             let told = peers.iter().all(|peer| peer.progress.known == known);
             if told || now.since(self.told_at) >= TOLD_LIMIT_MS {
@@ -141,12 +149,22 @@
             let in_force = peers.iter().all(|peer| peer.progress.effective == effective);
             return (in_force && !self.in_grace(now)).then_some(Step::Collect);
         }
+        self.settle_when_ready(peers, now)
+    }
+
+    fn settle_when_ready(&mut self, peers: &[Peer], now: Time) -> Option<Step> {
+        let ready = self.progress.ready;
         let all_ready = peers.iter().all(|peer| peer.progress.ready == ready);
-        if self.settled != ready && all_ready {
-            self.settled = ready;
-            return Some(Step::Settle);
+        if self.progress.settled == ready || !all_ready {
+            self.ready_since = None;
+            return None;
+        }
+        let since = *self.ready_since.get_or_insert(now);
+        if now.since(since) < SETTLE_MS {
+            return None;
         }
-        None
+        self.progress.settled = ready;
+        Some(Step::Settle)
     }
 
     fn in_grace(&self, now: Time) -> bool {
--- a/src/route/filter.rs
+++ b/src/route/filter.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::table::{SLOTS, Table};
 use crate::{Error, hash};
 
 /// Bits for each flow, before rounding up to a power of two.
@@ -115,3 +116,86 @@
         filter.words
     }
 }
+
+/// Slots of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(try_from = "Vec<u16>", into = "Vec<u16>")]
+pub struct SlotSet {
+    words: Vec<u64>,
+}
+
+impl SlotSet {
+    /// Slots of some flows.
+    pub fn of(flows: &[u64]) -> SlotSet {
+        SlotSet::from_slots(flows.iter().map(|flow| Table::slot(*flow)))
+    }
+
+    /// Set of some slots.
+    pub fn from_slots(slots: impl IntoIterator<Item = usize>) -> SlotSet {
+        let mut set = SlotSet::default();
+        for slot in slots {
+            set.insert(slot);
+        }
+        set
+    }
+
+    /// Number of slots in the set.
+    pub fn len(&self) -> usize {
+        self.words.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
+    /// Reports whether no slot is in the set.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Reports whether a slot is in the set.
+    pub fn contains(&self, slot: usize) -> bool {
+        self.words.get(slot / WORD).is_some_and(|word| word & (1 << (slot % WORD)) != 0)
+    }
+
+    /// Adds all slots of another set.
+    pub fn unite(&mut self, other: &SlotSet) {
+        self.words.resize(self.words.len().max(other.words.len()), 0);
+        for (word, more) in self.words.iter_mut().zip(&other.words) {
+            *word |= more;
+        }
+    }
+
+    fn insert(&mut self, slot: usize) {
+        self.words.resize(SLOTS / WORD, 0);
+        self.words[slot / WORD] |= 1 << (slot % WORD);
+    }
+}
+
+impl TryFrom<Vec<u16>> for SlotSet {
+    type Error = Error;
+
+    /// Reads distances between slots in ascending order.
+    fn try_from(distances: Vec<u16>) -> Result<SlotSet, Error> {
+        let mut set = SlotSet::default();
+        let mut slot = 0;
+        for distance in distances {
+            slot += usize::from(distance);
+            if slot >= SLOTS {
+                return Err(Error::new("read a set of slots", format!("slot {slot}")));
+            }
+            set.insert(slot);
+        }
+        Ok(set)
+    }
+}
+
+impl From<SlotSet> for Vec<u16> {
+    fn from(set: SlotSet) -> Vec<u16> {
+        let mut last = 0;
+        let present = (0..SLOTS).filter(|slot| set.contains(*slot));
+        let distance = |slot: usize| {
+            let distance = slot - last;
+            last = slot;
+            distance as u16
+        };
+        present.map(distance).collect()
+    }
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -11,7 +11,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use super::{
-    filter::Filter,
+    filter::{Filter, SlotSet},
     flow::{Flows, KeyMap},
     table::{Member, SLOTS, Table},
 };
@@ -50,6 +50,8 @@
 pub struct OldFlows {
     /// Their target.
     pub target: u16,
+    /// Slots that the flows are in.
+    pub slots: SlotSet,
     /// The flows, and some others.
     pub filter: Filter,
     /// When it was built.
@@ -66,13 +68,25 @@
 /// Table with targets by their numbers in the router.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Slots {
+    members: Vec<Member>,
     numbers: Vec<u16>,
 }
 
+impl OldFlows {
+    fn claims(&self, flow: u64) -> bool {
+        self.slots.contains(Table::slot(flow)) && self.filter.contains(flow)
+    }
+}
+
 impl Slots {
     fn get(&self, slot: usize) -> u16 {
         self.numbers.get(slot).copied().unwrap_or(NONE)
     }
+
+    /// Slots that have another target in the other table.
+    fn differing(&self, other: &Slots) -> SlotSet {
+        SlotSet::from_slots((0..SLOTS).filter(|slot| self.get(*slot) != other.get(*slot)))
+    }
 }
 
 /// Routing state of one service.
@@ -84,9 +98,11 @@
     base: Slots,
     current: Slots,
     next: Option<Slots>,
-    filters_complete: bool,
+    unsettled: SlotSet,
+    registered: SlotSet,
     trusts_current: bool,
     filters: Vec<OldFlows>,
+    incoming: Vec<OldFlows>,
     flows: Flows,
     kept: KeyMap<Kept>,
     kept_limit: usize,
@@ -103,9 +119,11 @@
             base: Slots::default(),
             current: Slots::default(),
             next: None,
-            filters_complete: true,
+            unsettled: SlotSet::default(),
+            registered: SlotSet::default(),
             trusts_current: false,
             filters: Vec::new(),
+            incoming: Vec::new(),
             flows: Flows::new(limit, idle_s),
             kept: KeyMap::default(),
             kept_limit: limit,
@@ -123,7 +141,7 @@
         if target == NONE {
             return Decision::Nowhere;
         }
-        if self.base.get(slot) != target || self.old_target(flow, target).is_some() {
+        if self.registered.contains(slot) || self.old_target(flow, target).is_some() {
             return Decision::Register(target);
         }
         self.hold(flow, target, now);
@@ -143,8 +161,8 @@
         if let Some(old) = self.old_target(flow, target) {
             return Decision::Ask(old);
         }
-        if self.is_unsettled(slot) && !self.filters_complete {
-            return Decision::Ask(self.fallback(slot));
+        if self.is_unsettled(slot) {
+            return Decision::Ask(self.fallback(flow, slot));
         }
         self.hold(flow, target, now);
         Decision::Target(target)
@@ -168,6 +186,13 @@
         self.kept.get(&flow).map(|kept| kept.target).or_else(|| self.flows.get(flow))
     }
 
+    /// Target that tables and filters give a flow.
+    pub fn computed(&self, flow: u64) -> Option<u16> {
+        let target = self.current.get(Table::slot(flow));
+        let target = self.old_target(flow, target).unwrap_or(target);
+        (target != NONE).then_some(target)
+    }
+
     /// Keeps an exception for others. The first one stands; returns it, or
     /// nothing if there is no room.
     pub fn keep(&mut self, flow: u64, target: u16, now: Time) -> Option<u16> {
@@ -192,13 +217,27 @@
         self.current = self.slots(members);
         self.base = self.current.clone();
         self.next = None;
-        self.filters_complete = true;
+        self.unsettled = SlotSet::default();
+        self.registered = SlotSet::default();
     }
 
-    /// Sets the table that some instances may still have in force.
-    pub fn set_base(&mut self, members: &[Member]) {
+    /// Sets the table that some instances may still have in force, and the slots
+    /// that are unsettled besides those where it differs.
+    pub fn set_base(&mut self, members: &[Member], unsettled: &SlotSet) {
         self.base = self.slots(members);
-        self.filters_complete = self.base == self.current;
+        self.unsettled.unite(unsettled);
+        self.unsettled.unite(&self.base.differing(&self.current));
+        self.registered.unite(&self.unsettled);
+    }
+
+    /// What the table is computed from that some instances may still have in force.
+    pub fn base_members(&self) -> &[Member] {
+        &self.base.members
+    }
+
+    /// Slots that are unsettled.
+    pub fn unsettled_slots(&self) -> &SlotSet {
+        &self.unsettled
     }
 
     /// Says which table a flow goes by that nobody knows: the one in force, as
@@ -210,7 +249,7 @@
     /// Announces the next table.
     pub fn announce(&mut self, members: &[Member]) {
         let next = self.slots(members);
-        self.filters_complete = false;
+        self.unsettled.unite(&next.differing(&self.current));
         self.next = Some(next);
     }
 
@@ -218,6 +257,7 @@
     pub fn take_effect(&mut self) {
         if let Some(next) = self.next.take() {
             self.current = next;
+            self.registered.unite(&self.unsettled);
         }
     }
 
@@ -238,36 +278,39 @@
         old
     }
 
-    /// Flows that more than one filter claims, which only keepers can resolve.
+    /// Flows held here that a filter claims for another target, which only
+    /// keepers can resolve.
     pub fn ambiguous(&self) -> Vec<(u64, u16)> {
         let claimed = |(flow, target): &(u64, u16)| {
-            let computed = self.current.get(Table::slot(*flow));
-            let claims = |old: &&OldFlows| old.target != computed && old.filter.contains(*flow);
-            *target != computed && self.filters.iter().filter(claims).any(|old| old.target != *target)
+            self.incoming.iter().any(|old| old.target != *target && old.claims(*flow))
         };
         self.flows.iter().filter(claimed).collect()
     }
 
-    /// Adds a complete filter of the old flows of a target.
-    pub fn add_filter(&mut self, target: u16, filter: Filter, now: Time) {
-        let known = |old: &OldFlows| old.target == target && old.filter == filter;
-        if !filter.is_empty() && !self.filters.iter().any(known) {
-            self.filters.push(OldFlows { target, filter, built: now });
+    /// Adds a complete filter of the old flows of a target. It counts once the
+    /// change has ended.
+    pub fn add_filter(&mut self, old: OldFlows) {
+        let same = |known: &OldFlows| known.target == old.target && known.filter == old.filter;
+        if !old.filter.is_empty() && !self.filters.iter().chain(&self.incoming).any(same) {
+            self.incoming.push(old);
         }
     }
 
-    /// Notes that all filters of the table in force are here.
-    pub fn complete_filters(&mut self) {
-        self.filters_complete = self.next.is_none();
+    /// Makes the filters count that were added.
+    pub fn use_filters(&mut self) {
+        self.filters.append(&mut self.incoming);
     }
 
     /// Ends a change: every instance has the table and the filters.
     pub fn settle(&mut self) {
         self.base = self.current.clone();
-        self.filters_complete = true;
         self.trusts_current = false;
+        let next = self.next.as_ref();
+        self.unsettled = next.map(|next| next.differing(&self.current)).unwrap_or_default();
+        self.registered = SlotSet::default();
+        self.use_filters();
         let computed = |flow: u64, target: u16| self.current.get(Table::slot(flow)) == target;
-        let claimed = |flow: u64| self.filters.iter().any(|old| old.filter.contains(flow));
+        let claimed = |flow: u64| self.filters.iter().any(|old| old.claims(flow));
         self.kept.retain(|flow, kept| !computed(*flow, kept.target) || claimed(*flow));
     }
 
@@ -287,6 +330,7 @@
         }
         self.kept.retain(|_, kept| kept.target != target);
         self.filters.retain(|old| old.target != target);
+        self.incoming.retain(|old| old.target != target);
         self.flows.drop_target(target)
     }
 
@@ -330,7 +374,7 @@
         self.name(target).map(|name| TargetId::of(name))
     }
 
-    /// Filters of old flows.
+    /// Filters of old flows that count.
     pub fn filters(&self) -> &[OldFlows] {
         &self.filters
     }
@@ -342,7 +386,7 @@
 
     /// Number of unsettled slots.
     pub fn unsettled(&self) -> usize {
-        (0..SLOTS).filter(|slot| self.is_unsettled(*slot)).count()
+        self.unsettled.len()
     }
 
     /// Number of exceptions kept for others.
@@ -360,23 +404,25 @@
     }
 
     fn is_unsettled(&self, slot: usize) -> bool {
-        let current = self.current.get(slot);
-        let announced = self.next.as_ref().is_some_and(|next| next.get(slot) != current);
-        announced || self.base.get(slot) != current
+        self.unsettled.contains(slot)
     }
 
-    fn fallback(&self, slot: usize) -> u16 {
-        let base = self.base.get(slot);
-        if self.trusts_current || base == NONE || self.is_gone(base) { self.current.get(slot) } else { base }
+    /// Target of a flow on an unsettled slot that nobody knows.
+    fn fallback(&self, flow: u64, slot: usize) -> u16 {
+        let filters = self.incoming.iter().rev().chain(self.filters.iter().rev());
+        let claimed = filters.filter(|old| old.claims(flow)).map(|old| old.target).next();
+        let table = if self.trusts_current { &self.current } else { &self.base };
+        let target = claimed.unwrap_or(table.get(slot));
+        if target == NONE || self.is_gone(target) { self.current.get(slot) } else { target }
     }
 
     fn old_target(&self, flow: u64, computed: u16) -> Option<u16> {
-        let claims = |old: &&OldFlows| old.target != computed && old.filter.contains(flow);
+        let claims = |old: &&OldFlows| old.target != computed && old.claims(flow);
         self.filters.iter().rev().find(claims).map(|old| old.target)
     }
 
     fn is_covered(&self, flow: u64, target: u16) -> bool {
-        self.filters.iter().any(|old| old.target == target && old.filter.contains(flow))
+        self.filters.iter().any(|old| old.target == target && old.claims(flow))
     }
 
     fn slots(&mut self, members: &[Member]) -> Slots {
@@ -386,6 +432,25 @@
             return Slots::default();
         }
         let number = |slot| table.slot_index(slot).map_or(NONE, |index| numbers[index]);
-        Slots { numbers: (0..SLOTS).map(number).collect() }
+        Slots { members: members.to_vec(), numbers: (0..SLOTS).map(number).collect() }
+    }
+}
+
+impl Router {
+    /// Debug.
+    pub fn debug_flow(&self, flow: u64) -> String {
+        let slot = Table::slot(flow);
+        let n = |t: Option<u16>| t.and_then(|t| self.name(t)).map(|n| n.to_string());
+        format!(
+            "held {:?} kept {:?} current {:?} base {:?} next {:?} unsettled {} trust {} filters {:?}",
+            n(self.flows.get(flow)),
+            n(self.kept.get(&flow).map(|k| k.target)),
+            n(Some(self.current.get(slot))),
+            n(Some(self.base.get(slot))),
+            self.next.as_ref().map(|x| n(Some(x.get(slot)))),
+            self.is_unsettled(slot),
+            self.trusts_current,
+            self.filters.iter().filter(|o| o.claims(flow)).map(|o| n(Some(o.target))).collect::<Vec<_>>()
+        )
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -28,7 +28,11 @@
         revision::{Bundle, Digest, Head, Manifest},
     },
     member::Heartbeat,
-    route::{change::Version, filter::Filter, router::TargetId},
+    route::{
+        change::Version,
+        filter::{Filter, SlotSet},
+        router::TargetId,
+    },
 };
 
 /// Version of the encoding.
@@ -76,8 +80,10 @@
 pub struct Old {
     /// Service.
     pub service: ServiceId,
-    /// Target that the flows stay on.
-    pub target: TargetId,
+    /// Target that the flows stay on: its name in tables.
+    pub target: Arc<str>,
+    /// Slots that the flows are in.
+    pub slots: SlotSet,
     /// The flows.
     pub filter: Filter,
 }
@@ -129,8 +135,9 @@
     Registered(u32, Option<TargetId>),
     /// Asks a keeper for a flow.
     Query(u32, Flow),
-    /// Keeper's answer.
-    Found(u32, Option<TargetId>),
+    /// Answer: the target, and whether the sender holds or keeps the flow. If not,
+    /// it has ended the change and computed the target.
+    Found(u32, Option<TargetId>, bool),
     /// Exceptions handed to a new keeper.
     Keep(Vec<(Flow, TargetId)>),
     /// A flow has ended.
@@ -193,6 +200,18 @@
     Refused,
 }
 
+/// Table of a service, by what it is computed from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Base {
+    /// Service.
+    pub service: ServiceId,
+    /// Names of targets in tables, and their weights.
+    pub members: Vec<(Arc<str>, u32)>,
+    /// Slots that are unsettled.
+    pub unsettled: SlotSet,
+}
+
 /// What a joining instance takes over from a serving one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -201,6 +220,10 @@
     pub version: Version,
     /// Whether it is settled there.
     pub settled: bool,
+    /// Version that the sender knows all others to be ready for.
+    pub ended: Version,
+    /// Tables that some instances may still have in force.
+    pub bases: Vec<Base>,
     /// Filters of old flows.
     pub old: Vec<Old>,
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,8 +10,6 @@
     sync::Arc,
 };
 
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use ragwortlb::{
     config::{
         File, Folder,
@@ -22,6 +20,8 @@
     time::Time,
     wire::{Frame, Message},
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 /// Time between ticks, in milliseconds.
 pub const TICK_MS: u64 = 20;
@@ -109,6 +109,7 @@
     pub runs: Vec<(usize, Action)>,
     pub notices: Vec<(u64, usize, String)>,
     pub explain: Vec<String>,
+    opened_at: HashMap<u64, (u64, usize)>,
     leaving_since: BTreeMap<SocketAddr, u64>,
     sent: HashMap<Ticket, Sent>,
     due: BinaryHeap<Reverse<(u64, u64)>>,
@@ -135,6 +136,7 @@
             runs: Vec::new(),
             notices: Vec::new(),
             explain: Vec::new(),
+            opened_at: HashMap::new(),
             leaving_since: BTreeMap::new(),
             sent: HashMap::new(),
             due: BinaryHeap::new(),
@@ -384,6 +386,7 @@
         match known {
             None => {
                 *known = Some(target);
+                self.opened_at.insert(sent.flow, (self.now, index));
                 self.tally.opened += 1;
                 let since = self.leaving_since.get(&target);
                 if since.is_some_and(|since| self.now.saturating_sub(*since) > LEAVING_MS + self.lag_ms) {
@@ -393,11 +396,18 @@
             Some(first) if *first != target && !sent.first => {
                 self.tally.broken += 1;
                 self.explain.push(format!(
-                    "at {} instance {index} sent flow {:x} (slot {}) to {target}, not {first}",
+                    "at {} instance {index} sent flow {:x} (slot {}) to {target}, not {first}; opened {:?}",
                     self.now,
                     sent.flow,
-                    sent.flow % 4096
+                    sent.flow % 4096,
+                    self.opened_at.get(&sent.flow)
                 ));
+                if std::env::var("SEED").is_ok() {
+                    for i in self.instances.iter().filter(|i| i.alive) {
+                        println!("    {}", i.node.debug_flow(sent.flow));
+                    }
+                    println!("  ^ {}", self.explain.last().unwrap());
+                }
                 *known = None;
                 self.flows.remove(&sent.flow);
             }
