--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -62,10 +62,14 @@
         self.forget_lagging();
         let peers = self.roster.progress();
         self.trust_settled_peers(&peers);
+        self.note_missed(&peers);
+        self.check_participants(&peers);
         let before = self.tracker.progress();
         match self.tracker.step(&peers, self.now) {
             Some(Step::TakeEffect) => {
-                self.note_missed(before, &peers);
+                if before.settled != before.effective {
+                    self.unended = Some(before.effective);
+                }
                 self.take_effect();
             }
             Some(Step::Collect) => self.collect(),
@@ -103,11 +107,28 @@
     }
 
     /// Notes that others ended a change whose filters are not here, while the next
-    /// one begins.
-    fn note_missed(&mut self, before: Progress, peers: &[Peer]) {
-        let ended = |peer: &Peer| peer.progress.settled == before.effective;
-        if before.ready != before.effective && peers.iter().any(ended) {
-            self.missed = Some(before.effective);
+    /// one has begun.
+    fn note_missed(&mut self, peers: &[Peer]) {
+        let ended = |peer: &Peer| Some(peer.progress.settled) == self.unended;
+        if self.unended.is_some() && peers.iter().any(ended) {
+            self.missed = self.unended.take();
+        }
+    }
+
+    /// Collects again if others take part now than when the filters were united.
+    fn check_participants(&mut self, peers: &[Peer]) {
+        let progress = self.tracker.progress();
+        if peers.iter().any(|peer| peer.progress.settled == progress.effective) {
+            return;
+        }
+        let is_waiting = progress.ready == progress.effective && progress.settled != progress.effective;
+        let round = Round::new(progress.effective, &self.roster.participants());
+        if is_waiting && progress.known == progress.effective && !self.collector.is_round(round) {
+            self.tracker.collect_again();
+            for service in &mut self.services {
+                service.router.drop_incoming();
+                service.router.trust_current(false);
+            }
         }
     }
 
@@ -123,6 +144,7 @@
             service.router.settle();
         }
         self.lagging.clear();
+        self.unended = None;
         self.notice(Notice::TablesSettled(self.inputs.version().0));
     }
 
--- a/src/node/collector.rs
+++ b/src/node/collector.rs
@@ -78,6 +78,11 @@
         true
     }
 
+    /// Reports whether this round is under way or done.
+    pub(super) fn is_round(&self, round: Round) -> bool {
+        self.round == Some(round)
+    }
+
     /// Sets this instance's parts, by the participant that unites them.
     pub(super) fn set_parts(&mut self, parts: BTreeMap<Arc<str>, Vec<Old>>) {
         self.own = parts;
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -382,7 +382,7 @@
 impl Node {
     /// Debug: all that is known of a flow.
     pub fn debug_flow(&self, id: u64) -> String {
-        let s = &self.services[0];
+        let Some(s) = self.services.first() else { return String::new() };
         let flow = Flow { service: s.id, id };
         format!(
             "{} {:?} keepers {:?} lag {:?} {}",
--- a/src/route/change.rs
+++ b/src/route/change.rs
@@ -117,6 +117,11 @@
         self.progress.settled = Version::default();
     }
 
+    /// Goes back to collecting, as there are other participants now.
+    pub fn collect_again(&mut self) {
+        self.progress.ready = Version::default();
+    }
+
     /// Notes that a peer was lost without a word.
     pub fn lose_peer(&mut self, now: Time) {
         self.lost_at = Some(now);
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -255,6 +255,7 @@
 
     /// Takes the announced table into force.
     pub fn take_effect(&mut self) {
+        self.drop_incoming();
         if let Some(next) = self.next.take() {
             self.current = next;
             self.registered.unite(&self.unsettled);
@@ -296,6 +297,11 @@
         }
     }
 
+    /// Drops the filters that do not count yet, as they are collected anew.
+    pub fn drop_incoming(&mut self) {
+        self.incoming.clear();
+    }
+
     /// Makes the filters count that were added.
     pub fn use_filters(&mut self) {
         self.filters.append(&mut self.incoming);
@@ -450,7 +456,10 @@
             self.next.as_ref().map(|x| n(Some(x.get(slot)))),
             self.is_unsettled(slot),
             self.trusts_current,
-            self.filters.iter().filter(|o| o.claims(flow)).map(|o| n(Some(o.target))).collect::<Vec<_>>()
+            self.filters
+                .iter()
+                .map(|o| format!("{}:{}", n(Some(o.target)).unwrap().split('@').next().unwrap(), o.built.0))
+                .collect::<Vec<_>>()
         )
     }
 }
--- a/tests/dbg_flow.rs
+++ b/tests/dbg_flow.rs
@@ -113,8 +113,6 @@
     }
     let first: u64 = net.explain.first().map(|e| e.split(' ').nth(1).unwrap().parse().unwrap()).unwrap_or(0);
     for (at, i, n) in &net.notices {
-        if *at < first + 2000 && *at + 12000 > first {
-            println!("{at} i{i} {n}");
-        }
+        println!("{at} i{i} {n}");
     }
 }
