--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -122,8 +122,8 @@
             return;
         }
         let is_waiting = progress.ready == progress.effective && progress.settled != progress.effective;
-        let round = Round::new(progress.effective, &self.roster.participants());
-        if is_waiting && progress.known == progress.effective && !self.collector.is_round(round) {
+        let is_covered = self.collector.covers(progress.effective, &self.roster.participants());
+        if is_waiting && progress.known == progress.effective && !is_covered {
             self.tracker.collect_again();
             for service in &mut self.services {
                 service.router.drop_incoming();
--- a/src/node/collector.rs
+++ b/src/node/collector.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     hash,
+    route::change::Version,
     time::Time,
     wire::{Old, Round, ServiceId},
 };
@@ -24,7 +25,7 @@
 
 impl Round {
     /// Round of a version among some participants, in order.
-    pub fn new(version: crate::route::change::Version, participants: &[Arc<str>]) -> Round {
+    pub fn new(version: Version, participants: &[Arc<str>]) -> Round {
         let fold = |sum, name: &Arc<str>| hash::pair(sum, hash::name(name));
         Round { version, participants: participants.iter().fold(0, fold) }
     }
@@ -78,9 +79,10 @@
         true
     }
 
-    /// Reports whether this round is under way or done.
-    pub(super) fn is_round(&self, round: Round) -> bool {
-        self.round == Some(round)
+    /// Reports whether the round at hand is of this version and has all these participants.
+    pub(super) fn covers(&self, version: Version, participants: &[Arc<str>]) -> bool {
+        let same_version = self.round.is_some_and(|round| round.version == version);
+        same_version && participants.iter().all(|name| self.participants.contains(name))
     }
 
     /// Sets this instance's parts, by the participant that unites them.
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -131,6 +131,7 @@
         let lagging = self.lagging.iter().filter(|peer| !peers.contains(peer)).take(LAGGING_ASKED);
         let lagging: Vec<_> = lagging.cloned().collect();
         peers.extend(lagging);
+        peers.extend(self.peer_that_ended().filter(|peer| !peers.contains(peer)));
         if peers.is_empty() {
             self.end_query(flow, None, fallback, vec![ticket]);
             return;
@@ -143,6 +144,16 @@
         }
     }
 
+    /// Any peer that has ended the change which this instance has not.
+    fn peer_that_ended(&self) -> Option<Arc<str>> {
+        let progress = self.tracker.progress();
+        let ended = |digest: &&crate::member::Digest| digest.progress.settled == progress.effective;
+        if progress.ready == progress.effective {
+            return None;
+        }
+        self.roster.serving().find(ended).map(|digest| digest.name.clone())
+    }
+
     pub(super) fn keep_for(&mut self, sender: &Arc<str>, question: u32, flow: Flow, target: TargetId) {
         let now = self.now;
         let kept = self.router_of(flow).and_then(|router| {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -458,6 +458,8 @@
             self.trusts_current,
             self.filters
                 .iter()
+                .chain(&self.incoming)
+                .filter(|o| o.claims(flow))
                 .map(|o| format!("{}:{}", n(Some(o.target)).unwrap().split('@').next().unwrap(), o.built.0))
                 .collect::<Vec<_>>()
         )
