--- a/src/member.rs
+++ b/src/member.rs
@@ -273,6 +273,20 @@
         changes
     }
 
+    /// Digests of this instance and its live peers.
+    pub fn digests(&self) -> Vec<Digest> {
+        std::iter::once(&self.own).chain(self.live()).cloned().collect()
+    }
+
+    /// Takes over another instance's view of the roster.
+    pub fn learn_all(&mut self, digests: Vec<Digest>, now: Time) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for digest in digests {
+            self.learn(digest, now, &mut changes);
+        }
+        changes
+    }
+
     /// Looks for silent peers. Call it often.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
         let pause = self.last_tick.map_or(0, |last| now.since(last));
--- a/src/node.rs
+++ b/src/node.rs
@@ -263,7 +263,7 @@
             Message::Part(round, old) => self.take_part(sender, round, old),
             Message::Union(round, old) => self.take_union(sender, round, old),
             Message::WantSnapshot => self.give_snapshot(sender),
-            Message::Snapshot(snapshot) => self.take_snapshot(sender, snapshot),
+            Message::Snapshot(snapshot) => self.take_snapshot(snapshot),
             Message::Claim(question, id, is_first) => self.judge_claim(sender, question, id, is_first),
             Message::Claimed(question, claimed) => self.take_claimed(sender, question, claimed),
             Message::Copy(question, id, owner) => self.hold_copy(sender, question, id, owner),
--- a/src/node/meeting.rs
+++ b/src/node/meeting.rs
@@ -168,6 +168,7 @@
             ended: self.tracker.progress().settled,
             bases: self.bases(),
             old: self.old(),
+            roster: self.roster.digests(),
         };
         self.send(peer, Message::Snapshot(snapshot));
     }
@@ -198,7 +199,9 @@
         open.map(base).collect()
     }
 
-    pub(super) fn take_snapshot(&mut self, _sender: &Arc<str>, snapshot: Snapshot) {
+    pub(super) fn take_snapshot(&mut self, mut snapshot: Snapshot) {
+        let changes = self.roster.learn_all(std::mem::take(&mut snapshot.roster), self.now);
+        self.take_changes(changes);
         if self.takes_part() {
             self.catch_up(&snapshot);
             return;
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -147,8 +147,10 @@
     /// Any peer that has ended the change which this instance has not.
     fn peer_that_ended(&self) -> Option<Arc<str>> {
         let progress = self.tracker.progress();
-        let ended = |digest: &&crate::member::Digest| digest.progress.settled == progress.effective;
-        if progress.ready == progress.effective {
+        let ended = |digest: &&crate::member::Digest| {
+            digest.progress.settled == self.missed.unwrap_or(progress.effective)
+        };
+        if progress.ready == progress.effective && self.missed.is_none() {
             return None;
         }
         self.roster.serving().find(ended).map(|digest| digest.name.clone())
@@ -194,12 +196,11 @@
     }
 
     pub(super) fn look_up_for(&mut self, sender: &Arc<str>, question: u32, flow: Flow) {
-        let is_settled = self.tracker.is_settled();
         let mut is_held = false;
         let found = self.router_of(flow).and_then(|router| {
             let known = router.known(flow.id);
             is_held = known.is_some();
-            let computed = || router.computed(flow.id).filter(|_| is_settled);
+            let computed = || router.computed(flow.id);
             router.id(known.or_else(computed)?)
         });
         self.send(sender, Message::Found(question, found, is_held));
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -186,8 +186,11 @@
         self.kept.get(&flow).map(|kept| kept.target).or_else(|| self.flows.get(flow))
     }
 
-    /// Target that tables and filters give a flow.
+    /// Target that tables and filters give a flow, if its slot is settled.
     pub fn computed(&self, flow: u64) -> Option<u16> {
+        if self.is_unsettled(Table::slot(flow)) {
+            return None;
+        }
         let target = self.current.get(Table::slot(flow));
         let target = self.old_target(flow, target).unwrap_or(target);
         (target != NONE).then_some(target)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -27,7 +27,7 @@
         File, Folder,
         revision::{Bundle, Digest, Head, Manifest},
     },
-    member::Heartbeat,
+    member::{self, Heartbeat},
     route::{
         change::Version,
         filter::{Filter, SlotSet},
@@ -226,6 +226,8 @@
     pub bases: Vec<Base>,
     /// Filters of old flows.
     pub old: Vec<Old>,
+    /// Live instances, the sender among them.
+    pub roster: Vec<member::Digest>,
 }
 
 /// Messages of one instance, sent together.
