--- a/crates/ragwortlbd/src/links.rs
+++ b/crates/ragwortlbd/src/links.rs
@@ -125,7 +125,12 @@
 fn is_bulk(message: &Message) -> bool {
     matches!(
         message,
-        Message::Files(_) | Message::Keep(_) | Message::Part(..) | Message::Union(..) | Message::Snapshot(_)
+        Message::Files(_)
+            | Message::Keep(_)
+            | Message::Part(..)
+            | Message::Union(..)
+            | Message::Snapshot(_)
+            | Message::Heritage(_)
     )
 }
 
--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -11,7 +11,7 @@
 use crate::{
     member::State,
     route::{
-        change::{Peer, Progress, Step},
+        change::{Peer, Step},
         filter::{Filter, SlotSet},
         router::{OldFlows, TargetId},
         table::Member,
@@ -300,14 +300,20 @@
     /// Old flows held here, by the instance that unites them.
     fn own_parts(&mut self, participants: &[Arc<str>]) -> BTreeMap<Arc<str>, Vec<Old>> {
         let mut parts: BTreeMap<Arc<str>, Vec<Old>> = BTreeMap::new();
+        let now = self.now;
         for service in &self.services {
-            for (number, flows) in service.router.old_flows() {
-                let Some(target) = service.router.name(number).cloned() else {
+            let held = service.router.old_flows().into_iter().map(|(target, flows)| OldFlows {
+                target,
+                slots: SlotSet::of(&flows),
+                filter: Filter::of(&flows),
+                built: now,
+            });
+            for old in held.chain(service.router.inherited_old()) {
+                let Some(old) = service.wire_old(&old) else {
                     continue;
                 };
-                let (slots, filter) = (SlotSet::of(&flows), Filter::of(&flows));
-                let owner = super::collector::owner(participants, service.id, &target);
-                parts.entry(owner).or_default().push(Old { service: service.id, target, slots, filter });
+                let owner = super::collector::owner(participants, service.id, &old.target);
+                parts.entry(owner).or_default().push(old);
             }
         }
         parts
--- a/src/node/meeting.rs
+++ b/src/node/meeting.rs
@@ -10,7 +10,7 @@
 use crate::{
     hash,
     member::{Change, Digest, Heartbeat, State},
-    route::table::Member,
+    route::{router::OldFlows, table::Member},
     wire::{Base, Message, Old, Snapshot},
 };
 
@@ -20,6 +20,9 @@
 /// Time for which former keepers are asked too, in milliseconds.
 const OVERLAP_MS: u64 = 3_000;
 
+/// Time after which a heritage that was not acknowledged is sent again, in milliseconds.
+const HERITAGE_MS: u64 = 20_000;
+
 /// Time between questions for a snapshot, in milliseconds.
 const SNAPSHOT_MS: u64 = 500;
 
@@ -110,7 +113,6 @@
                     self.notice(Notice::PeerLost(peer.clone()));
                 }
                 Change::Left(peer) => {
-                    self.tracker.lose_peer(self.now);
                     self.abandon_records(peer);
                     self.notice(Notice::PeerLeft(peer.clone()));
                 }
@@ -175,16 +177,47 @@
 
     /// Filters of old flows that count.
     fn old(&self) -> Vec<Old> {
-        let mut old = Vec::new();
-        for service in &self.services {
-            for flows in service.router.filters() {
-                if let Some(target) = service.router.name(flows.target).cloned() {
-                    let (slots, filter) = (flows.slots.clone(), flows.filter.clone());
-                    old.push(Old { service: service.id, target, slots, filter });
-                }
+        let of_service = |service: &Service| {
+            let filters = service.router.filters().iter();
+            filters.filter_map(|old| service.wire_old(old)).collect::<Vec<_>>()
+        };
+        self.services.iter().flat_map(of_service).collect()
+    }
+
+    /// Takes over the flows of an instance that leaves.
+    pub(super) fn inherit(&mut self, sender: &Arc<str>, old: &[Old]) {
+        let now = self.now;
+        for Old { service, target, slots, filter } in old {
+            let Some(index) = self.by_id.get(service).copied() else {
+                continue;
+            };
+            if let Some(number) = self.services[index].old_target(target, now) {
+                let (slots, filter) = (slots.clone(), filter.clone());
+                self.services[index].router.inherit(OldFlows { target: number, slots, filter, built: now });
             }
         }
-        old
+        self.send(sender, Message::Inherited);
+    }
+
+    /// Hands all flows to the instance that answers for them in later changes.
+    fn bequeath(&mut self) {
+        let own = hash::name(&self.settings.name);
+        let heir = self.candidates.iter().max_by_key(|peer| hash::pair(own, hash::name(&peer.name)));
+        let Some(heir) = heir.map(|peer| peer.name.clone()) else {
+            self.heir_holds = true;
+            return;
+        };
+        if self.now < self.next_heritage {
+            return;
+        }
+        self.next_heritage = self.now + HERITAGE_MS;
+        let now = self.now;
+        let mut all = Vec::new();
+        for service in &self.services {
+            let heritage = service.router.heritage(now);
+            all.extend(heritage.iter().filter_map(|old| service.wire_old(old)));
+        }
+        self.send(&heir, Message::Heritage(all));
     }
 
     /// Tables that some instances may still have in force.
@@ -298,7 +331,10 @@
         let waited = self.now.since(since);
         let is_idle = self.jobs.is_empty() && waited >= self.settings.leave_ms;
         let may_go = self.tracker.is_settled() || waited >= self.settings.hand_over_ms;
-        if is_idle && may_go {
+        if is_idle && may_go && !self.heir_holds {
+            self.bequeath();
+        }
+        if is_idle && may_go && (self.heir_holds || waited >= self.settings.hand_over_ms) {
             self.set_state(State::Left);
             self.out.push(Action::Stopped);
         }
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -11,9 +11,9 @@
         slots::Slots,
     },
     config,
-    route::router::Router,
+    route::router::{OldFlows, Router},
     time::Time,
-    wire::ServiceId,
+    wire::{Old, ServiceId},
 };
 
 /// What is known of a target, by its number in the router.
@@ -95,6 +95,12 @@
         Some(number)
     }
 
+    /// Old flows in the form that others understand.
+    pub(super) fn wire_old(&self, old: &OldFlows) -> Option<Old> {
+        let target = self.router.name(old.target)?.clone();
+        Some(Old { service: self.id, target, slots: old.slots.clone(), filter: old.filter.clone() })
+    }
+
     /// Computes the homes of all slots anew.
     pub(super) fn assign_homes(&mut self, instances: &[Arc<str>], own: &str) {
         let units = self.targets.iter().flat_map(|(number, target)| {
--- a/src/route/filter.rs
+++ b/src/route/filter.rs
@@ -13,10 +13,10 @@
 use crate::{Error, hash};
 
 /// Bits for each flow, before rounding up to a power of two.
-const BITS_PER_FLOW: usize = 10;
+const BITS_PER_FLOW: usize = 12;
 
 /// Bits that each flow sets.
-const PROBES: u64 = 5;
+const PROBES: u64 = 7;
 
 /// Bits in a word.
 const WORD: usize = 64;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -103,6 +103,7 @@
     trusts_current: bool,
     filters: Vec<OldFlows>,
     incoming: Vec<OldFlows>,
+    inherited: Vec<OldFlows>,
     flows: Flows,
     kept: KeyMap<Kept>,
     kept_limit: usize,
@@ -124,6 +125,7 @@
             trusts_current: false,
             filters: Vec::new(),
             incoming: Vec::new(),
+            inherited: Vec::new(),
             flows: Flows::new(limit, idle_s),
             kept: KeyMap::default(),
             kept_limit: limit,
@@ -265,6 +267,50 @@
         }
     }
 
+    /// Takes over the flows of an instance that leaves.
+    pub fn inherit(&mut self, old: OldFlows) {
+        self.inherited.push(old);
+    }
+
+    /// All flows by target: those held, and those inherited.
+    pub fn heritage(&self, now: Time) -> Vec<OldFlows> {
+        let mut by_target: HashMap<u16, Vec<u64>> = HashMap::new();
+        for (flow, target) in self.flows.iter() {
+            let is_computed = self.current.get(Table::slot(flow)) == target;
+            if is_computed || !self.is_covered(flow, target) {
+                by_target.entry(target).or_default().push(flow);
+            }
+        }
+        let held = by_target.into_iter().map(|(target, flows)| OldFlows {
+            target,
+            slots: SlotSet::of(&flows),
+            filter: Filter::of(&flows),
+            built: now,
+        });
+        held.chain(self.inherited.iter().cloned()).collect()
+    }
+
+    /// Inherited flows on slots that lead elsewhere now and that no filter covers.
+    pub fn inherited_old(&self) -> Vec<OldFlows> {
+        let mut moved = Vec::new();
+        for old in &self.inherited {
+            let elsewhere = |slot: &usize| self.current.get(*slot) != old.target;
+            let uncovered = |slot: &usize| {
+                !self
+                    .filters
+                    .iter()
+                    .any(|f| f.target == old.target && f.slots.contains(*slot) && f.built > old.built)
+            };
+            let slots =
+                (0..SLOTS).filter(|slot| old.slots.contains(*slot)).filter(elsewhere).filter(uncovered);
+            let slots = SlotSet::from_slots(slots);
+            if !slots.is_empty() && !self.is_gone(old.target) {
+                moved.push(OldFlows { slots, ..old.clone() });
+            }
+        }
+        moved
+    }
+
     /// Flows held on other targets than the computed one, by target, that no
     /// filter covers yet.
     pub fn old_flows(&self) -> Vec<(u16, Vec<u64>)> {
@@ -330,6 +376,7 @@
         self.flows.expire(now);
         self.kept.retain(|_, kept| now.since(kept.at) <= idle_ms);
         self.filters.retain(|old| now.since(old.built) <= idle_ms);
+        self.inherited.retain(|old| now.since(old.built) <= idle_ms);
     }
 
     /// Drops everything that leads to a target that is gone. Returns the flows dropped.
@@ -340,6 +387,7 @@
         self.kept.retain(|_, kept| kept.target != target);
         self.filters.retain(|old| old.target != target);
         self.incoming.retain(|old| old.target != target);
+        self.inherited.retain(|old| old.target != target);
         self.flows.drop_target(target)
     }
 
@@ -427,7 +475,8 @@
 
     fn old_target(&self, flow: u64, computed: u16) -> Option<u16> {
         let claims = |old: &&OldFlows| old.target != computed && old.claims(flow);
-        self.filters.iter().rev().find(claims).map(|old| old.target)
+        let filters = self.incoming.iter().rev().chain(self.filters.iter().rev());
+        filters.into_iter().find(claims).map(|old| old.target)
     }
 
     fn is_covered(&self, flow: u64, target: u16) -> bool {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -146,6 +146,10 @@
     Part(Round, Vec<Old>),
     /// United old flows of all participants.
     Union(Round, Vec<Old>),
+    /// Flows of an instance that leaves, for the one that answers for them.
+    Heritage(Vec<Old>),
+    /// The heritage is held.
+    Inherited,
     /// Asks a peer for what a joining instance needs.
     WantSnapshot,
     /// What a joining instance needs.
--- a/tests/dbg_flow.rs
+++ b/tests/dbg_flow.rs
@@ -116,3 +116,91 @@
         println!("{at} i{i} {n}");
     }
 }
+
+fn seed() -> u64 { std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1) }
+
+fn report(net: &Net) {
+    println!("{:?}", net.tally);
+    for e in net.explain.iter().take(12) { println!("{e}"); }
+    for (at, i, n) in &net.notices { println!("{at} i{i} {n}"); }
+}
+
+#[test]
+fn debug_kill() {
+    let (mut net, mut targets) = start(seed());
+    let mut leaving = BTreeSet::new();
+    for _ in 0..5 {
+        joint_change(&mut net, &mut targets, &mut leaving);
+        let pause = net.rng.random_range(0..1_500);
+        traffic(&mut net, pause);
+        let live = net.fabric(None);
+        let index = live[net.rng.random_range(0..live.len())];
+        let zone = net.instances[index].zone;
+        net.kill(index);
+        net.notices.push((net.now, index, "KILLED".into()));
+        net.start(zone);
+        let pause = net.rng.random_range(3_000..40_000);
+        traffic(&mut net, pause);
+    }
+    traffic(&mut net, 5_000);
+    report(&net);
+}
+
+#[test]
+fn debug_zone() {
+    let (mut net, mut targets) = start(seed());
+    let mut leaving = BTreeSet::new();
+    net.cut_zone(2);
+    net.notices.push((net.now, 99, "CUT".into()));
+    for _ in 0..2 {
+        joint_change_targets(&mut net, &mut targets, &mut leaving);
+        zone_traffic(&mut net, 10_000);
+    }
+    net.heal();
+    net.notices.push((net.now, 99, "HEALED".into()));
+    traffic(&mut net, 20_000);
+    report(&net);
+}
+
+fn joint_change_targets(net: &mut Net, targets: &mut BTreeSet<usize>, leaving: &mut BTreeSet<usize>) {
+    let number = net.rng.random_range(0..14);
+    if !leaving.remove(&number) { leaving.insert(number); }
+    net.accept_in(&folder(targets, leaving), &[0, 1]);
+}
+
+fn zone_traffic(net: &mut Net, millis: u64) {
+    let mut passed = 0;
+    while passed < millis {
+        let zone = net.rng.random_range(0..3);
+        if let Some(flow) = net.open(Some(zone)) { net.homes.insert(flow, zone); }
+        let keys: Vec<u64> = net.flows.keys().copied().collect();
+        for _ in 0..20 {
+            let flow = keys[net.rng.random_range(0..keys.len())];
+            let n = net.rng.random_range(0..3);
+            let zone = *net.homes.entry(flow).or_insert(n);
+            net.follow(flow, Some(zone));
+        }
+        net.pass(50);
+        passed += 50;
+    }
+}
+
+#[test]
+fn debug_freeze() {
+    let (mut net, mut targets) = start(seed());
+    let mut leaving = BTreeSet::new();
+    for _ in 0..4 {
+        let live = net.fabric(None);
+        let index = live[net.rng.random_range(0..live.len())];
+        net.freeze(index, true);
+        net.notices.push((net.now, index, "FROZEN".into()));
+        joint_change(&mut net, &mut targets, &mut leaving);
+        let pause = net.rng.random_range(500..8_000);
+        traffic(&mut net, pause);
+        net.freeze(index, false);
+        net.notices.push((net.now, index, "THAWED".into()));
+        traffic(&mut net, 3_000);
+    }
+    traffic(&mut net, 5_000);
+    report(&net);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -109,6 +109,7 @@
     pub runs: Vec<(usize, Action)>,
     pub notices: Vec<(u64, usize, String)>,
     pub explain: Vec<String>,
+    pub homes: HashMap<u64, usize>,
     opened_at: HashMap<u64, (u64, usize)>,
     leaving_since: BTreeMap<SocketAddr, u64>,
     sent: HashMap<Ticket, Sent>,
@@ -136,6 +137,7 @@
             runs: Vec::new(),
             notices: Vec::new(),
             explain: Vec::new(),
+            homes: HashMap::new(),
             opened_at: HashMap::new(),
             leaving_since: BTreeMap::new(),
             sent: HashMap::new(),
@@ -214,6 +216,18 @@
         }
     }
 
+    /// Accepts a folder of which only some zones hear.
+    pub fn accept_in(&mut self, folder: &Folder, zones: &[usize]) {
+        let before = self.due.len();
+        self.accept(folder);
+        assert!(self.due.len() > before);
+        let instances = &self.instances;
+        self.what.retain(|_, due| match due {
+            Due::Offer { to, .. } => zones.contains(&instances[*to].zone),
+            _ => true,
+        });
+    }
+
     /// Offers a bundle to one instance now.
     pub fn offer(&mut self, to: usize, bundle: Bundle) {
         self.schedule(self.now, Due::Offer { to, bundle });
