--- /dev/null
+++ b/crates/ragwortlb-standin/src/embedded.rs
@@ -0,0 +1,157 @@
+//! The whole system in one process: store, targets and daemons on loopback ports.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use ragwortlb::{Error, config::Folder};
+use ragwortlb_rpc::store::{
+    accept::{self, Accepted},
+    fetch,
+    http::Http,
+};
+use ragwortlbd::{daemon::Daemon, settings::Settings};
+
+use crate::{fabric::Fabric, ports, site::Site, store, target::Target};
+
+/// Longest wait for daemons to become ready.
+const START: Duration = Duration::from_secs(20);
+
+/// Daemon and its addresses.
+struct Member {
+    daemon: Daemon,
+    zone: String,
+    call: SocketAddr,
+    peer: SocketAddr,
+}
+
+/// Store, targets and daemons.
+pub struct Embedded {
+    store: dropshot::HttpServer<Arc<store::Context>>,
+    store_url: String,
+    targets: BTreeMap<String, Arc<Target>>,
+    members: Vec<Member>,
+    started: usize,
+    /// Fabric before the daemons.
+    pub fabric: Fabric,
+}
+
+impl Embedded {
+    /// Starts the store and the targets of a site.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start(site: &Site) -> Result<Embedded, Error> {
+        let address = free(1)?[0];
+        let store = store::serve(address)?;
+        let mut targets = BTreeMap::new();
+        for conf in &site.targets {
+            let service = site.services.iter().find(|service| service.name == conf.service);
+            let Some(service) = service else {
+                continue;
+            };
+            let target = Target::new(&conf.service, service.address, &conf.name, site.slots);
+            target.serve(conf.address).await?;
+            targets.insert(conf.name.clone(), target);
+        }
+        Ok(Embedded {
+            store,
+            store_url: format!("http://{address}"),
+            targets,
+            members: Vec::new(),
+            started: 0,
+            fabric: Fabric::default(),
+        })
+    }
+
+    /// Starts a daemon in an availability zone.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start_instance(&mut self, zone: &str) -> Result<(), Error> {
+        let addresses = free(3)?;
+        let settings = Settings {
+            name: format!("{zone}-{}", self.started).into(),
+            zone: zone.into(),
+            call_address: addresses[0],
+            peer_address: addresses[1],
+            operator_address: addresses[2],
+            store: self.store_url.as_str().into(),
+            peers: self.members.iter().map(|member| member.peer).collect(),
+            leave_ms: 1_000,
+            ..Settings::default()
+        };
+        self.started += 1;
+        let daemon = Daemon::start(&settings).await?;
+        self.fabric.add(addresses[0], addresses[2]);
+        self.members.push(Member { daemon, zone: zone.to_owned(), call: addresses[0], peer: addresses[1] });
+        Ok(())
+    }
+
+    /// Stops the oldest daemon gracefully. Returns its availability zone.
+    ///
+    /// # Errors
+    ///
+    /// It did not close.
+    pub async fn stop_oldest(&mut self) -> Result<String, Error> {
+        let member = self.members.remove(0);
+        member.daemon.stop().await?;
+        self.fabric.remove(member.call);
+        Ok(member.zone)
+    }
+
+    /// Waits until all daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// They are not ready in time.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        if self.fabric.wait_ready(self.members.len(), START).await {
+            return Ok(());
+        }
+        Err(Error::new("wait for the daemons", format!("{} are ready", self.fabric.ready())))
+    }
+
+    /// Accepts a folder.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or another accept came first.
+    pub async fn accept(&self, folder: &Folder, change: &str) -> Result<u64, Error> {
+        let store = Http::new(&self.store_url)?;
+        let parent = fetch::head(&store).await?;
+        match accept::accept(&store, folder, parent.as_ref(), change).await? {
+            Accepted::New(head) | Accepted::Unchanged(head) => Ok(head.revision),
+            Accepted::Lost(head) => Err(Error::new("accept a folder", format!("lost to {}", head.revision))),
+        }
+    }
+
+    /// Waits until a revision is in force everywhere. Returns how long it took.
+    pub async fn wait_in_force(&self, revision: u64) -> Duration {
+        const STEP: Duration = Duration::from_millis(20);
+        let start = tokio::time::Instant::now();
+        let in_force = |member: &Member| member.daemon.core().status().effective_revision >= revision;
+        while !self.members.iter().all(in_force) && start.elapsed() < START {
+            tokio::time::sleep(STEP).await;
+        }
+        start.elapsed()
+    }
+
+    /// Targets by name.
+    pub fn targets(&self) -> &BTreeMap<String, Arc<Target>> {
+        &self.targets
+    }
+
+    /// Stops everything.
+    ///
+    /// # Errors
+    ///
+    /// The store did not close.
+    pub async fn stop(self) -> Result<(), Error> {
+        self.store.close().await.map_err(|error| Error::new("close the store", error))
+    }
+}
+
+fn free(count: usize) -> Result<Vec<SocketAddr>, Error> {
+    ports::free(count).map_err(|error| Error::new("find free ports", error.to_string()))
+}
--- a/crates/ragwortlb-standin/src/lib.rs
+++ b/crates/ragwortlb-standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod control;
+pub mod embedded;
 pub mod fabric;
 pub mod fleet;
 pub mod ports;
