--- a/crates/ragwortlb-standin/src/fleet.rs
+++ b/crates/ragwortlb-standin/src/fleet.rs
@@ -24,6 +24,7 @@
     fabric::Fabric,
     ports,
     site::Site,
+    switch::Switch,
 };
 
 /// Longest wait for a process to start.
@@ -57,6 +58,8 @@
     pub instances: Vec<Instance>,
     /// Fabric before the daemons.
     pub fabric: Fabric,
+    /// Network between the daemons.
+    pub switch: Switch,
     started: usize,
     peers: Vec<SocketAddr>,
     /// Further settings of each daemon, as JSON members.
@@ -91,6 +94,7 @@
             control: addresses[1],
             instances: Vec::new(),
             fabric: Fabric::default(),
+            switch: Switch::default(),
             started: 0,
             peers: Vec::new(),
             extra: String::new(),
@@ -123,13 +127,14 @@
     pub fn start_instance(&mut self, zone: &str) -> Result<usize, Error> {
         const STEP: &str = "start a daemon";
         let addresses = ports::free(3).map_err(fail(STEP))?;
-        let (call, peer, operators) = (addresses[0], addresses[1], addresses[2]);
+        let (call, bound, operators) = (addresses[0], addresses[1], addresses[2]);
         let name = format!("{zone}-{}", self.started);
         self.started += 1;
+        let peer = self.switch.add(&name, zone, bound)?;
         let peers: Vec<String> = self.peers.iter().map(|peer| format!("\"{peer}\"")).collect();
         let settings = format!(
             "{{\"name\": \"{name}\", \"zone\": \"{zone}\", \"call_address\": \"{call}\",\n\
-             \"peer_address\": \"{peer}\", \"operator_address\": \"{operators}\",\n\
+             \"peer_address\": \"{bound}\", \"advertised_address\": \"{peer}\", \"operator_address\": \"{operators}\",\n\
              \"store\": \"{}\", \"peers\": [{}]{}}}\n",
             self.store_url,
             peers.join(", "),
--- a/crates/ragwortlb-standin/src/main.rs
+++ b/crates/ragwortlb-standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use eyre::{Result, eyre};
-use ragwortlb_standin::{control, store, target::Target};
+use ragwortlb_standin::{control, measure, site::Size, store, target::Target};
 
 /// Stand-ins for what surrounds the load balancer
 #[derive(Clone, Debug)]
@@ -30,6 +30,21 @@
         #[bpaf(positional("TARGET"))]
         targets: Vec<String>,
     },
+    /// Measure the system as separate processes
+    #[bpaf(command)]
+    Measure {
+        /// Seed of all random choices
+        #[bpaf(fallback(1))]
+        seed: u64,
+        /// Size of the site: nido or cascade
+        #[bpaf(fallback(Size::Nido))]
+        size: Size,
+        /// Print JSON
+        json: bool,
+        /// What to measure
+        #[bpaf(positional("NAME"))]
+        name: measure::Name,
+    },
     /// The daemon itself, as in ragwortlbd
     #[bpaf(command)]
     Daemon {
@@ -61,6 +76,7 @@
             store::serve(address)?.await.map_err(|error| eyre!(error))?;
         }
         Options::Targets { control, slots, targets } => serve_targets(control, slots, &targets).await?,
+        Options::Measure { seed, size, json, name } => print_measure(name, size, seed, json).await?,
         Options::Daemon { .. } => {}
     }
     Ok(())
@@ -80,3 +96,17 @@
     let server = control::serve(address, Arc::new(targets))?;
     server.await.map_err(|error| eyre!(error))
 }
+
+async fn print_measure(name: measure::Name, size: Size, seed: u64, json: bool) -> Result<()> {
+    let program = std::env::current_exe()?;
+    let folder = std::env::temp_dir().join(format!("ragwortlb-measure-{}", std::process::id()));
+    let figures = measure::run(name, size, seed, &program, &folder).await;
+    let _ = std::fs::remove_dir_all(&folder);
+    let figures = figures?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&figures)?);
+    } else {
+        println!("{figures:#?}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ragwortlb-standin/src/switch.rs
@@ -0,0 +1,107 @@
+/*!
+Stand-in for the network between instances, which can be cut between zones.
+
+Each instance has a port at the switch, and peers send to that port. The switch
+reads who sent a frame, and drops it if the two availability zones are cut.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use ragwortlb::{Error, wire::Frame};
+use ragwortlb_rpc::{
+    MAX_MESSAGE_BYTES,
+    generated::{self, peer_client::PeerClient, peer_server},
+};
+use tonic::{
+    Request, Response, Status,
+    transport::{Channel, Endpoint, Server, server::TcpIncoming},
+};
+
+/// Zones, and which of them are cut.
+#[derive(Debug, Default)]
+struct Map {
+    zones: BTreeMap<String, String>,
+    cut: BTreeSet<String>,
+}
+
+/// The network.
+#[derive(Clone, Debug, Default)]
+pub struct Switch {
+    map: Arc<Mutex<Map>>,
+}
+
+impl Switch {
+    /// Adds an instance that takes frames at `bound`. Returns its port at the
+    /// switch. Must be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// The system has no free port.
+    pub fn add(&self, name: &str, zone: &str, bound: SocketAddr) -> Result<SocketAddr, Error> {
+        const STEP: &str = "add a port to the switch";
+        let fail = |error: std::io::Error| Error::new(STEP, error.to_string());
+        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(fail)?;
+        let port = listener.local_addr().map_err(fail)?;
+        listener.set_nonblocking(true).map_err(fail)?;
+        let listener = tokio::net::TcpListener::from_std(listener).map_err(fail)?;
+        self.lock().zones.insert(name.to_owned(), zone.to_owned());
+        let endpoint = Endpoint::from_shared(format!("http://{bound}"))
+            .map_err(|error| Error::new(STEP, error.to_string()))?;
+        let client = PeerClient::new(endpoint.tcp_nodelay(true).connect_lazy())
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        let port_of = Port { switch: self.clone(), zone: zone.to_owned(), client };
+        let server = peer_server::PeerServer::new(port_of).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        tokio::spawn(async move {
+            let _ = Server::builder().add_service(server).serve_with_incoming(incoming).await;
+        });
+        Ok(port)
+    }
+
+    /// Cuts an availability zone off from all others, or joins it again.
+    pub fn cut(&self, zone: &str, is_cut: bool) {
+        let mut map = self.lock();
+        if is_cut {
+            map.cut.insert(zone.to_owned());
+        } else {
+            map.cut.remove(zone);
+        }
+    }
+
+    fn passes(&self, sender: &str, to_zone: &str) -> bool {
+        let map = self.lock();
+        let from_zone = map.zones.get(sender).map(String::as_str).unwrap_or_default();
+        from_zone == to_zone || !(map.cut.contains(from_zone) || map.cut.contains(to_zone))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Map> {
+        self.map.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Port of one instance.
+struct Port {
+    switch: Switch,
+    zone: String,
+    client: PeerClient<Channel>,
+}
+
+#[tonic::async_trait]
+impl peer_server::Peer for Port {
+    async fn exchange(
+        &self,
+        request: Request<generated::Frame>,
+    ) -> Result<Response<generated::Received>, Status> {
+        let frame = request.into_inner();
+        let sender = Frame::from_bytes(&frame.content).map(|frame| frame.sender);
+        let sender = sender.map_err(|error| Status::invalid_argument(error.to_string()))?;
+        if !self.switch.passes(&sender, &self.zone) {
+            return Err(Status::unavailable("the zones are cut"));
+        }
+        self.client.clone().exchange(frame).await
+    }
+}
--- a/crates/ragwortlbd/src/daemon.rs
+++ b/crates/ragwortlbd/src/daemon.rs
@@ -95,7 +95,7 @@
     node::Settings {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
-        address: settings.peer_address,
+        address: settings.advertised_address.unwrap_or(settings.peer_address),
         peers: settings.peers.clone(),
         incarnation: since_epoch.as_millis() as u64,
         seed: since_epoch.as_nanos() as u64,
--- a/crates/ragwortlbd/src/links.rs
+++ b/crates/ragwortlbd/src/links.rs
@@ -3,7 +3,8 @@
 
 Each peer has a sender with two queues. Small messages, on which packets and
 requests wait, go at once. Bulk messages (documents, filters, hand-overs) wait
-while the bytes of the last second are over the cap. Everything is bounded: what
+while the bytes of the last second are over the cap, but for a quarter of the cap
+that is always theirs, so that a change of tables ends under any load. Everything is bounded: what
 a peer does not take is dropped, and counted.
 */
 
@@ -34,6 +35,9 @@
 /// Pause before bulk is tried again when the cap binds.
 const BULK_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of the cap that is always for bulk: one in so many.
+const BULK_SHARE: u64 = 4;
+
 /// Bytes of bulk in one frame.
 const BULK_BYTES: usize = 256 * 1024;
 
@@ -79,10 +83,18 @@
 struct Shared {
     name: Arc<str>,
     bucket: Mutex<Bucket>,
+    bulk: Mutex<Bucket>,
     sent_bytes: AtomicU64,
     dropped: AtomicU64,
 }
 
+impl Shared {
+    fn has_room_for_bulk(&self) -> bool {
+        let under_cap = self.bucket.lock().unwrap_or_else(PoisonError::into_inner).has_room();
+        under_cap || self.bulk.lock().unwrap_or_else(PoisonError::into_inner).has_room()
+    }
+}
+
 /// Connections to all peers.
 pub struct Links {
     shared: Arc<Shared>,
@@ -95,6 +107,7 @@
         let shared = Shared {
             name,
             bucket: Mutex::new(Bucket::new(bytes_per_s)),
+            bulk: Mutex::new(Bucket::new(bytes_per_s / BULK_SHARE)),
             sent_bytes: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
         };
@@ -185,9 +198,10 @@
                 Err(_) => break,
             }
         }
-        let has_room = shared.bucket.lock().unwrap_or_else(PoisonError::into_inner).has_room();
+        let has_room = shared.has_room_for_bulk();
         if has_room {
-            take_bulk(bulk, &mut batch);
+            let bytes = take_bulk(bulk, &mut batch);
+            shared.bulk.lock().unwrap_or_else(PoisonError::into_inner).take(bytes);
         }
         if !batch.is_empty() {
             return Some(batch);
@@ -200,13 +214,15 @@
     }
 }
 
-fn take_bulk(bulk: &mut mpsc::Receiver<Message>, batch: &mut Vec<Message>) {
+/// Takes bulk messages and returns their bytes.
+fn take_bulk(bulk: &mut mpsc::Receiver<Message>, batch: &mut Vec<Message>) -> usize {
     let mut bytes = 0;
     while bytes < BULK_BYTES && batch.len() < MAX_BATCH {
         let Ok(message) = bulk.try_recv() else {
-            return;
+            break;
         };
         bytes += message.bytes();
         batch.push(message);
     }
+    bytes
 }
--- a/crates/ragwortlbd/src/settings.rs
+++ b/crates/ragwortlbd/src/settings.rs
@@ -41,6 +41,8 @@
     pub call_address: SocketAddr,
     /// Address for peers.
     pub peer_address: SocketAddr,
+    /// Address that peers use, if it is another than the one that is bound.
+    pub advertised_address: Option<SocketAddr>,
     /// Address for operators.
     pub operator_address: SocketAddr,
     /// URL of the platform's store.
@@ -75,6 +77,7 @@
             zone: "zone".into(),
             call_address: local(7000),
             peer_address: local(7400),
+            advertised_address: None,
             operator_address: local(7600),
             store: "http://127.0.0.1:7500".into(),
             peers: Vec::new(),
@@ -131,6 +134,7 @@
             "zone" => self.zone = name(value)?,
             "call_address" => self.call_address = address(value)?,
             "peer_address" => self.peer_address = address(value)?,
+            "advertised_address" => self.advertised_address = Some(address(value)?),
             "operator_address" => self.operator_address = address(value)?,
             "store" => self.store = url(value)?,
             "peers" => self.peers = addresses(value)?,
--- a/src/node.rs
+++ b/src/node.rs
@@ -65,7 +65,10 @@
     admit::gate::Gate,
     config::revision::{Bundle, Digest, Lineage},
     member::{self, Roster},
-    retry::{budget::Budget, record::Records},
+    retry::{
+        budget::Budget,
+        record::{Answers, Records},
+    },
     route::{
         change::{Tracker, Version},
         keeper::Candidate,
@@ -124,6 +127,7 @@
     questions: BTreeMap<u32, Question>,
     last_question: u32,
     records: Records,
+    answers: Answers,
     gate: Gate,
     budget: Budget,
     counts: Counts,
@@ -174,6 +178,7 @@
             questions: BTreeMap::new(),
             last_question: 0,
             records: Records::default(),
+            answers: Answers::default(),
             gate: Gate::new(settings.max_requests),
             budget: Budget::default(),
             counts: Counts::default(),
@@ -274,7 +279,9 @@
             Message::Claimed(question, claimed) => self.take_claimed(sender, question, claimed),
             Message::Copy(question, id, owner) => self.hold_copy(sender, question, id, owner),
             Message::Copied(question, held) => self.take_copied(question, held),
-            Message::Finish(id, outcome) => self.take_finish(id, outcome),
+            Message::Finish(id, ending) => self.take_finish(id, ending),
+            Message::WantOutcome(id) => self.give_outcome(sender, id),
+            Message::Outcome(id, outcome) => self.end_joined(id, &outcome),
             Message::AskSlot(question, service, target, left_ms) => {
                 self.take_ask(sender, question, service, target, left_ms);
             }
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -2,11 +2,16 @@
 
 use std::sync::Arc;
 
-use super::{Node, event::Ticket, job::Stage, question::Topic};
+use super::{
+    Node,
+    event::Ticket,
+    job::{Job, Stage},
+    question::Topic,
+};
 use crate::{
     hash,
     route::keeper::{self, Candidate},
-    wire::{Claimed, Flow, Message, Outcome, RequestId},
+    wire::{Claimed, Ending, Flow, Message, Outcome, RequestId},
 };
 
 /// Wait for the second keeper's answer, in milliseconds.
@@ -96,7 +101,7 @@
             return;
         }
         let why: Arc<str> = "its second keeper did not answer".into();
-        self.end_record(id, Outcome::NotRun(why));
+        self.end_record(id, Ending::NotRun(why));
         self.answer_claim(&claimant, claim, Claimed::Refused);
     }
 
@@ -109,8 +114,11 @@
         };
         match claimed {
             Claimed::Granted => self.route_request(ticket),
-            Claimed::Joined => self.join(ticket),
-            Claimed::Ended(outcome) => self.end_without_record(ticket, outcome),
+            Claimed::Joined(_) => self.join(ticket),
+            Claimed::Ended(owner, ending) => {
+                self.join(ticket);
+                self.follow_ending(ticket, &owner, ending);
+            }
             Claimed::Lost => {
                 let why = "an earlier attempt may have run, and its record is lost";
                 self.end_without_record(ticket, Outcome::Unknown(why.into()));
@@ -158,40 +166,103 @@
 
     /// Tells the keepers of a request what became of it.
     pub(super) fn finish_record(&mut self, id: RequestId, outcome: &Outcome) {
+        if let Outcome::Done(answer) = outcome {
+            self.answers.keep(id, answer.clone(), self.now);
+        }
         for keeper in self.record_keepers(id) {
             if keeper == self.settings.name {
-                self.end_record(id, outcome.clone());
+                self.end_record(id, Ending::from(outcome));
             } else {
-                self.send(&keeper, Message::Finish(id, outcome.clone()));
+                self.send(&keeper, Message::Finish(id, Ending::from(outcome)));
             }
         }
     }
 
-    /// Takes the outcome of a request, as its keeper or as one that joined it.
-    pub(super) fn take_finish(&mut self, id: RequestId, outcome: Outcome) {
-        self.end_joined(id, &outcome);
-        self.end_record(id, outcome);
+    /// Takes the ending of a request, as its keeper.
+    pub(super) fn take_finish(&mut self, id: RequestId, ending: Ending) {
+        self.end_record(id, ending);
     }
 
-    fn end_record(&mut self, id: RequestId, outcome: Outcome) {
-        let joined = self.records.finish(id, outcome.clone(), self.now);
-        self.tell_joined(id, joined, &outcome);
+    fn end_record(&mut self, id: RequestId, ending: Ending) {
+        let owner = self.records.owner(id);
+        let joined = self.records.finish(id, ending.clone(), self.now);
+        if let Some(owner) = owner {
+            self.tell_joined(id, joined, &owner, &ending);
+        }
     }
 
-    fn tell_joined(&mut self, id: RequestId, joined: Vec<Arc<str>>, outcome: &Outcome) {
+    /// Lets those who joined a request know its outcome. An answer comes from the
+    /// instance that ran it.
+    fn tell_joined(&mut self, id: RequestId, joined: Vec<Arc<str>>, owner: &Arc<str>, ending: &Ending) {
         for peer in joined {
-            if peer == self.settings.name {
-                self.end_joined(id, outcome);
-            } else {
-                self.send(&peer, Message::Finish(id, outcome.clone()));
+            match without_answer(ending) {
+                Some(outcome) if peer == self.settings.name => self.end_joined(id, &outcome),
+                Some(outcome) => self.send(&peer, Message::Outcome(id, outcome)),
+                None => self.send_answer_to(id, &peer, owner),
             }
         }
     }
 
-    fn end_joined(&mut self, id: RequestId, outcome: &Outcome) {
-        let joined = |job: &super::job::Job| match job {
-            super::job::Job::Work(work) => work.stage == Stage::Joined && work.record == Some(id),
-            super::job::Job::Packet(..) => false,
+    /// Has the owner of an answer send it to a peer, or sends it.
+    fn send_answer_to(&mut self, id: RequestId, peer: &Arc<str>, owner: &Arc<str>) {
+        let own = self.settings.name.clone();
+        if *owner == own {
+            let outcome = self.kept_outcome(id);
+            self.deliver_outcome(id, peer, outcome);
+        } else if *peer == own {
+            self.send(owner, Message::WantOutcome(id));
+        } else {
+            let outcome = Outcome::Unknown("it ran; ask again for its answer".into());
+            self.send(peer, Message::Outcome(id, outcome));
+        }
+    }
+
+    fn deliver_outcome(&mut self, id: RequestId, peer: &Arc<str>, outcome: Outcome) {
+        if *peer == self.settings.name {
+            self.end_joined(id, &outcome);
+        } else {
+            self.send(peer, Message::Outcome(id, outcome));
+        }
+    }
+
+    fn kept_outcome(&self, id: RequestId) -> Outcome {
+        match self.answers.get(id) {
+            Some(answer) => Outcome::Done(answer.clone()),
+            None => Outcome::Unknown("it ran; its answer is no longer kept".into()),
+        }
+    }
+
+    /// Gives the outcome of a request that this instance ran.
+    pub(super) fn give_outcome(&mut self, peer: &Arc<str>, id: RequestId) {
+        let outcome = self.kept_outcome(id);
+        self.send(peer, Message::Outcome(id, outcome));
+    }
+
+    /// Finds the outcome of a request that has ended before.
+    fn follow_ending(&mut self, ticket: Ticket, owner: &Arc<str>, ending: Ending) {
+        if let Some(outcome) = without_answer(&ending) {
+            self.end_without_record(ticket, outcome);
+            return;
+        }
+        let Some(id) = self.work(ticket).and_then(|work| work.record) else {
+            return;
+        };
+        if *owner == self.settings.name {
+            let outcome = self.kept_outcome(id);
+            self.end_without_record(ticket, outcome);
+        } else if self.roster.is_live(owner) {
+            self.send(owner, Message::WantOutcome(id));
+        } else {
+            let why = "it ran; the instance that held its answer is gone";
+            self.end_without_record(ticket, Outcome::Unknown(why.into()));
+        }
+    }
+
+    /// Ends the requests of this instance that joined another attempt.
+    pub(super) fn end_joined(&mut self, id: RequestId, outcome: &Outcome) {
+        let joined = |job: &Job| match job {
+            Job::Work(work) => work.stage == Stage::Joined && work.record == Some(id),
+            Job::Packet(..) => false,
         };
         let mut tickets: Vec<Ticket> =
             self.jobs.iter().filter(|(_, job)| joined(job)).map(|(ticket, _)| *ticket).collect();
@@ -204,8 +275,8 @@
     /// Ends the records of a lost instance.
     pub(super) fn abandon_records(&mut self, owner: &str) {
         for (id, joined) in self.records.abandon(owner) {
-            let outcome = Outcome::Unknown("the instance that ran it was lost".into());
-            self.tell_joined(id, joined, &outcome);
+            let ending = Ending::Unknown("the instance that ran it was lost".into());
+            self.tell_joined(id, joined, &owner.into(), &ending);
         }
     }
 
@@ -229,6 +300,16 @@
     }
 }
 
+/// Outcome of an ending that has no answer.
+fn without_answer(ending: &Ending) -> Option<Outcome> {
+    match ending {
+        Ending::Done => None,
+        Ending::Failed(what) => Some(Outcome::Failed(what.clone())),
+        Ending::NotRun(why) => Some(Outcome::NotRun(why.clone())),
+        Ending::Unknown(why) => Some(Outcome::Unknown(why.clone())),
+    }
+}
+
 fn record_key(id: RequestId) -> u64 {
     hash::pair(id.flow.id, id.number)
 }
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -385,6 +385,7 @@
             }
         }
         self.records.expire(now);
+        self.answers.expire(now);
         for notice in notices {
             self.notice(notice);
         }
--- a/src/retry/record.rs
+++ b/src/retry/record.rs
@@ -14,13 +14,13 @@
 
 use crate::{
     time::Time,
-    wire::{Claimed, Outcome, RequestId},
+    wire::{Claimed, Ending, RequestId},
 };
 
 /// Time that a record is kept, in milliseconds.
 pub const KEEP_MS: u64 = 5 * 60 * 1_000;
 
-/// Answers kept in all records, in bytes.
+/// Answers kept, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Most records.
@@ -32,7 +32,7 @@
     /// The owner may run it, or has.
     Running,
     /// It has ended.
-    Ended(Outcome),
+    Ended(Ending),
 }
 
 /// Record of one request.
@@ -48,7 +48,6 @@
 pub struct Records {
     records: HashMap<RequestId, Record>,
     order: VecDeque<(Time, RequestId)>,
-    answer_bytes: usize,
 }
 
 impl Records {
@@ -70,16 +69,16 @@
             return if self.insert(id, owner, now) { Claimed::Granted } else { Claimed::Refused };
         };
         match &record.state {
-            State::Ended(Outcome::NotRun(_)) => {
+            State::Ended(Ending::NotRun(_)) => {
                 record.owner = owner.clone();
                 record.state = State::Running;
                 Claimed::Granted
             }
-            State::Ended(outcome) => Claimed::Ended(outcome.clone()),
+            State::Ended(ending) => Claimed::Ended(record.owner.clone(), ending.clone()),
             State::Running if !is_live(&record.owner) => Claimed::Lost,
             State::Running => {
                 record.joined.push(owner.clone());
-                Claimed::Joined
+                Claimed::Joined(record.owner.clone())
             }
         }
     }
@@ -87,7 +86,7 @@
     /// Takes a copy from the first keeper. Returns whether it is held.
     pub fn copy(&mut self, id: RequestId, owner: &Arc<str>, now: Time) -> bool {
         if let Some(record) = self.records.get_mut(&id) {
-            let free = record.owner == *owner || matches!(record.state, State::Ended(Outcome::NotRun(_)));
+            let free = record.owner == *owner || matches!(record.state, State::Ended(Ending::NotRun(_)));
             if free {
                 record.owner = owner.clone();
                 record.state = State::Running;
@@ -97,15 +96,17 @@
         self.insert(id, owner, now)
     }
 
+    /// Instance that runs a request or ran it.
+    pub fn owner(&self, id: RequestId) -> Option<Arc<str>> {
+        self.records.get(&id).map(|record| record.owner.clone())
+    }
+
     /// Ends a request. Returns the peers that joined it.
-    pub fn finish(&mut self, id: RequestId, outcome: Outcome, now: Time) -> Vec<Arc<str>> {
+    pub fn finish(&mut self, id: RequestId, ending: Ending, now: Time) -> Vec<Arc<str>> {
         let Some(record) = self.records.get_mut(&id) else {
             return Vec::new();
         };
-        if let Outcome::Done(answer) = &outcome {
-            self.answer_bytes += answer.len();
-        }
-        record.state = State::Ended(outcome);
+        record.state = State::Ended(ending);
         let joined = std::mem::take(&mut record.joined);
         self.expire(now);
         joined
@@ -116,7 +117,7 @@
         let mut abandoned = Vec::new();
         for (id, record) in &mut self.records {
             if &*record.owner == owner && record.state == State::Running {
-                record.state = State::Ended(Outcome::Unknown("the instance that ran it was lost".into()));
+                record.state = State::Ended(Ending::Unknown("the instance that ran it was lost".into()));
                 abandoned.push((*id, std::mem::take(&mut record.joined)));
             }
         }
@@ -124,10 +125,10 @@
     }
 
     /// Records that are to be copied when keepers change: id, owner, and outcome if ended.
-    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Arc<str>, Option<&Outcome>)> {
+    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Arc<str>, Option<&Ending>)> {
         self.records.iter().map(|(id, record)| match &record.state {
             State::Running => (*id, &record.owner, None),
-            State::Ended(outcome) => (*id, &record.owner, Some(outcome)),
+            State::Ended(ending) => (*id, &record.owner, Some(ending)),
         })
     }
 
@@ -138,19 +139,8 @@
                 break;
             }
             self.order.pop_front();
-            self.drop_answer(id);
             self.records.remove(&id);
         }
-        if self.answer_bytes <= MAX_ANSWER_BYTES {
-            return;
-        }
-        let oldest: Vec<RequestId> = self.order.iter().map(|(_, id)| *id).collect();
-        for id in oldest {
-            if self.answer_bytes <= MAX_ANSWER_BYTES {
-                break;
-            }
-            self.drop_answer(id);
-        }
     }
 
     /// Number of records.
@@ -173,14 +163,40 @@
         self.order.push_back((now, id));
         true
     }
+}
 
-    fn drop_answer(&mut self, id: RequestId) {
-        let Some(record) = self.records.get_mut(&id) else {
-            return;
-        };
-        if let State::Ended(Outcome::Done(answer)) = &record.state {
-            self.answer_bytes = self.answer_bytes.saturating_sub(answer.len());
-            record.state = State::Ended(Outcome::Unknown("it ran; its answer is no longer kept".into()));
+/// Answers of requests that this instance ran.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    answers: HashMap<RequestId, Arc<[u8]>>,
+    order: VecDeque<(Time, RequestId)>,
+    bytes: usize,
+}
+
+impl Answers {
+    /// Keeps an answer; drops the oldest beyond the limits.
+    pub fn keep(&mut self, id: RequestId, answer: Arc<[u8]>, now: Time) {
+        self.bytes += answer.len();
+        self.answers.insert(id, answer);
+        self.order.push_back((now, id));
+        self.expire(now);
+    }
+
+    /// Answer of a request, if it is still kept.
+    pub fn get(&self, id: RequestId) -> Option<&Arc<[u8]>> {
+        self.answers.get(&id)
+    }
+
+    /// Drops old answers.
+    pub fn expire(&mut self, now: Time) {
+        while let Some((kept, id)) = self.order.front().copied() {
+            if now.since(kept) < KEEP_MS && self.bytes <= MAX_ANSWER_BYTES {
+                return;
+            }
+            self.order.pop_front();
+            if let Some(answer) = self.answers.remove(&id) {
+                self.bytes -= answer.len();
+            }
         }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -113,6 +113,31 @@
     Unknown(Arc<str>),
 }
 
+/// How a request ended, without its answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Ending {
+    /// It ran; the instance that ran it holds the answer.
+    Done,
+    /// The target's own error.
+    Failed(Arc<str>),
+    /// It did not run.
+    NotRun(Arc<str>),
+    /// It may have run.
+    Unknown(Arc<str>),
+}
+
+impl From<&Outcome> for Ending {
+    fn from(outcome: &Outcome) -> Ending {
+        match outcome {
+            Outcome::Done(_) => Ending::Done,
+            Outcome::Failed(what) => Ending::Failed(what.clone()),
+            Outcome::NotRun(why) => Ending::NotRun(why.clone()),
+            Outcome::Unknown(why) => Ending::Unknown(why.clone()),
+        }
+    }
+}
+
 /// What one instance tells another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -163,7 +188,11 @@
     /// Second keeper's answer.
     Copied(u32, bool),
     /// A claimed request has ended.
-    Finish(RequestId, Outcome),
+    Finish(RequestId, Ending),
+    /// Asks the instance that ran a request for its outcome.
+    WantOutcome(RequestId),
+    /// Outcome of a request that the receiver joined.
+    Outcome(RequestId, Outcome),
     /// Asks a home instance for a slot: service, one target or any, milliseconds left.
     AskSlot(u32, ServiceId, Option<TargetId>, u32),
     /// A slot is lent.
@@ -194,10 +223,10 @@
 pub enum Claimed {
     /// The request may run.
     Granted,
-    /// It runs or has run; its outcome will follow.
-    Joined,
-    /// Its outcome.
-    Ended(Outcome),
+    /// It runs at this instance; its ending will follow.
+    Joined(Arc<str>),
+    /// It has ended at this instance.
+    Ended(Arc<str>, Ending),
     /// An earlier attempt may have run and nothing is known of it.
     Lost,
     /// The instance is not the first keeper, or no second one answered.
