--- a/crates/ragwortlb-rpc/src/link.rs
+++ b/crates/ragwortlb-rpc/src/link.rs
@@ -5,7 +5,7 @@
 take in time is dropped, as every message between instances may be lost.
 */
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use ragwortlb::wire::Message;
 
@@ -16,4 +16,7 @@
 
     /// Bytes sent since the start.
     fn sent_bytes(&self) -> u64;
+
+    /// Bytes sent since the start by kind of message, without the frames' own.
+    fn sent_by_kind(&self) -> BTreeMap<&'static str, u64>;
 }
--- a/crates/ragwortlb-standin/src/measure.rs
+++ b/crates/ragwortlb-standin/src/measure.rs
@@ -102,6 +102,8 @@
     pub control_bytes_per_s_max: f64,
     /// Bytes that an instance sent to peers a second, mean of all.
     pub control_bytes_per_s_mean: f64,
+    /// Bytes sent to peers by kind, all instances that ran at the end.
+    pub control_by_kind: std::collections::BTreeMap<String, u64>,
     /// Requests refused as not run that ran.
     pub refused_not_run_but_ran: u64,
     /// Requests that ran twice and may not.
@@ -239,6 +241,12 @@
     /// Adds up what groups of callers and the targets saw.
     pub(crate) async fn sum_up(&mut self, reports: &[Report]) -> Result<(), Error> {
         let sights = self.fleet.sights().await?;
+        for index in 0..self.fleet.instances.len() {
+            let state = self.fleet.status(index).await?;
+            for (kind, bytes) in state.control_bytes_by_kind {
+                *self.figures.control_by_kind.entry(kind).or_default() += bytes;
+            }
+        }
         let figures = &mut self.figures;
         for report in reports {
             let counts = &report.counts;
--- a/crates/ragwortlbd/src/core.rs
+++ b/crates/ragwortlbd/src/core.rs
@@ -4,7 +4,7 @@
 */
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -140,6 +140,11 @@
         self.link.sent_bytes()
     }
 
+    /// Bytes sent to peers by kind of message.
+    pub fn sent_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        self.link.sent_by_kind()
+    }
+
     /// Waits until the node has handed over.
     pub async fn stopped(&self) {
         let mut stopped = self.stopped.subscribe();
--- a/crates/ragwortlbd/src/links.rs
+++ b/crates/ragwortlbd/src/links.rs
@@ -9,7 +9,7 @@
 */
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -85,10 +85,18 @@
     bucket: Mutex<Bucket>,
     bulk: Mutex<Bucket>,
     sent_bytes: AtomicU64,
+    by_kind: Mutex<BTreeMap<&'static str, u64>>,
     dropped: AtomicU64,
 }
 
 impl Shared {
+    fn count_kinds(&self, messages: &[Message]) {
+        let mut by_kind = self.by_kind.lock().unwrap_or_else(PoisonError::into_inner);
+        for message in messages {
+            *by_kind.entry(message.kind()).or_default() += message.bytes() as u64;
+        }
+    }
+
     fn has_room_for_bulk(&self) -> bool {
         let under_cap = self.bucket.lock().unwrap_or_else(PoisonError::into_inner).has_room();
         under_cap || self.bulk.lock().unwrap_or_else(PoisonError::into_inner).has_room()
@@ -109,6 +117,7 @@
             bucket: Mutex::new(Bucket::new(bytes_per_s)),
             bulk: Mutex::new(Bucket::new(bytes_per_s / BULK_SHARE)),
             sent_bytes: AtomicU64::new(0),
+            by_kind: Mutex::default(),
             dropped: AtomicU64::new(0),
         };
         Links { shared: Arc::new(shared), peers: Mutex::new(HashMap::new()) }
@@ -133,6 +142,10 @@
     fn sent_bytes(&self) -> u64 {
         self.shared.sent_bytes.load(Ordering::Relaxed)
     }
+
+    fn sent_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        self.shared.by_kind.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
 }
 
 fn is_bulk(message: &Message) -> bool {
@@ -171,6 +184,7 @@
             return;
         };
         let count = messages.len() as u64;
+        shared.count_kinds(&messages);
         let content = Frame { sender: shared.name.clone(), messages }.to_bytes();
         if content.len() > MAX_FRAME_BYTES {
             shared.dropped.fetch_add(count, Ordering::Relaxed);
--- a/crates/ragwortlbd/src/operators.rs
+++ b/crates/ragwortlbd/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' HTTP.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use dropshot::{
     ApiDescription, ConfigDropshot, HttpError, HttpResponseOk, HttpServer, HttpServerStarter, RequestContext,
@@ -51,6 +51,8 @@
     pub settled: bool,
     /// Bytes sent to peers.
     pub control_bytes: u64,
+    /// The same by kind of message, without what frames add.
+    pub control_bytes_by_kind: BTreeMap<String, u64>,
     /// Everything else: services, peers and counters.
     pub detail: serde_json::Value,
 }
@@ -58,6 +60,7 @@
 impl From<&Core> for State {
     fn from(core: &Core) -> State {
         let status = core.status();
+        let by_kind = core.sent_by_kind().into_iter().map(|(kind, bytes)| (kind.to_owned(), bytes)).collect();
         State {
             name: status.name.to_string(),
             zone: status.zone.to_string(),
@@ -66,6 +69,7 @@
             digest: status.digest.as_ref().map(|digest| digest.to_string()),
             settled: status.settled,
             control_bytes: core.sent_bytes(),
+            control_bytes_by_kind: by_kind,
             detail: serde_json::to_value(&status).unwrap_or_default(),
         }
     }
--- /dev/null
+++ b/crates/ragwortlbd/tests/event_catalogue.rs
@@ -0,0 +1,28 @@
+//! The catalogue of log events holds against the code.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).unwrap()
+}
+
+/// Numbers of three digits that follow a mark.
+fn numbers_after(text: &str, mark: &str) -> BTreeSet<u32> {
+    let number = |rest: &str| rest.get(..3).and_then(|digits| digits.parse().ok());
+    text.split(mark).skip(1).filter_map(number).collect()
+}
+
+#[test]
+fn catalogue_is_complete() {
+    let mut in_code = numbers_after(&read("src/node/action.rs"), "=> ");
+    for entry in fs::read_dir(root().join("crates/ragwortlbd/src")).unwrap() {
+        let text = fs::read_to_string(entry.unwrap().path()).unwrap();
+        in_code.extend(numbers_after(&text, "!(\"E"));
+    }
+    let in_docs = numbers_after(&read("docs/EVENTS.md"), "\n| E");
+    assert_eq!(in_code, in_docs);
+}
--- a/src/member.rs
+++ b/src/member.rs
@@ -433,7 +433,7 @@
 
     /// Spreads a rumour, unless every peer hears of it directly.
     fn tell(&mut self, rumour: Rumour) {
-        if matches!(rumour, Rumour::Digest(_)) && self.peers.len() <= FANOUT {
+        if matches!(rumour, Rumour::Digest(_)) && self.live().count() <= FANOUT {
             return;
         }
         let repeats = self.peers.len().max(2).ilog2() + 1;
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -95,8 +95,8 @@
     pub effective_revision: u64,
     /// Digest of the accepted revision.
     pub digest: Option<Arc<str>>,
-    /// How far it has come with tables.
-    pub progress: Progress,
+    /// Versions of tables: known, in force, ready, settled.
+    pub versions: [Arc<str>; 4],
     /// Whether no change is under way.
     pub settled: bool,
     /// Requests inside.
@@ -128,7 +128,7 @@
             revision: self.lineage.revision(),
             effective_revision: self.inputs.revision(),
             digest: self.lineage.head().map(|head| head.digest.as_str().into()),
-            progress: self.tracker.progress(),
+            versions: versions(self.tracker.progress()),
             settled: self.tracker.is_settled(),
             requests: self.gate.len(),
             records: self.records.len(),
@@ -138,3 +138,8 @@
         }
     }
 }
+
+fn versions(progress: Progress) -> [Arc<str>; 4] {
+    let versions = [progress.known, progress.effective, progress.ready, progress.settled];
+    versions.map(|version| format!("{:016x}", version.0).into())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -306,6 +306,25 @@
 }
 
 impl Message {
+    /// Kind of the message, for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Message::Heartbeat(_) => "heartbeat",
+            Message::WantHead | Message::Head(..) | Message::WantFiles(_) | Message::Files(_) => "config",
+            Message::Targets(_) => "targets",
+            Message::Register(..) | Message::Registered(..) | Message::Keep(_) | Message::Close(_) => {
+                "exception"
+            }
+            Message::Query(..) | Message::Found(..) => "query",
+            Message::Part(..) | Message::Union(..) => "filter",
+            Message::Heritage(_) | Message::Inherited => "heritage",
+            Message::WantSnapshot | Message::Snapshot(_) => "snapshot",
+            Message::Claim(..) | Message::Claimed(..) | Message::Copy(..) | Message::Copied(..) => "claim",
+            Message::Finish(..) | Message::WantOutcome(_) | Message::Outcome(..) => "outcome",
+            Message::AskSlot(..) | Message::Grant(..) | Message::Release(_) | Message::Deny(_) => "slot",
+        }
+    }
+
     /// Size in a frame, in bytes.
     pub fn bytes(&self) -> usize {
         postcard::experimental::serialized_size(self).unwrap_or(0)
