Run a request that may not be repeated at most once

Cause, seen in 400 histories a test: keepers killed or frozen gave two runs of one request, (1) as a duplicate whose claim went unanswered ended the record of the attempt that ran, (2) as instances for a moment took different keepers for the first one. Now a record has a holder, an instance by the number of its claim, and only its word ends it; a new or paused instance keeps records only after three seconds; and the first keeper grants once all that anyone may take for a keeper, coming or former ones too, hold a copy. Ruled out: answers that cross (runs carry their number). Also mended: live peers that no heartbeat reached while lost ones filled the ring.

--- /dev/null
+++ b/benches/compare.rs
@@ -0,0 +1,177 @@
+//! Compares ways of routing on the same seeds: broken flows, control bytes and
+//! questions, over ten joint changes of targets and instances.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use ragwortlb::route::{
+    flow,
+    table::{Member, Table},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use support::{Net, folder};
+
+const FLOWS: usize = 2_000;
+const CHANGES: usize = 10;
+const STEP_MS: u64 = 50;
+const CHANGE_MS: u64 = 6_000;
+const INSTANCES: usize = 9;
+
+fn main() {
+    if std::env::args().any(|arg| arg == "--test") {
+        return;
+    }
+    println!("way                          seed   flows  broken  control bytes/s an instance  questions/s");
+    for seed in 1..=3 {
+        for way in [Way::Modulo, Way::Consistent, Way::Replication] {
+            baseline(way, seed);
+        }
+        ours(seed);
+    }
+}
+
+/// Changes the targets: one leaves or comes back.
+fn change(rng: &mut Pcg64Mcg, targets: &BTreeSet<usize>, leaving: &mut BTreeSet<usize>) {
+    let number = rng.random_range(0..targets.len());
+    if !leaving.remove(&number) && leaving.len() < 5 {
+        leaving.insert(number);
+    }
+}
+
+fn ours(seed: u64) {
+    let mut net = Net::new(seed);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let targets: BTreeSet<usize> = (0..14).collect();
+    let mut leaving = BTreeSet::new();
+    net.start_all(3, 3, &folder(&targets, &leaving));
+    for _ in 0..FLOWS {
+        net.open(None);
+    }
+    let start: u64 = net.instances.iter().map(|instance| instance.sent_bytes).sum();
+    let from = net.now;
+    for _ in 0..CHANGES {
+        change(&mut rng, &targets, &mut leaving);
+        net.accept(&folder(&targets, &leaving));
+        let gone = net.fabric(None)[0];
+        net.start(net.instances[gone].zone);
+        net.drain(gone);
+        for _ in 0..CHANGE_MS / STEP_MS {
+            let keys: Vec<u64> = net.flows.keys().copied().collect();
+            for _ in 0..FLOWS / 40 {
+                net.follow(keys[net.rng.random_range(0..keys.len())], None);
+            }
+            for _ in 0..FLOWS / 400 {
+                net.open(None);
+            }
+            net.pass(STEP_MS);
+        }
+    }
+    let seconds = (net.now - from) as f64 / 1_000.0;
+    let sent: u64 = net.instances.iter().map(|instance| instance.sent_bytes).sum::<u64>() - start;
+    let queries: u64 = net.instances.iter().map(|instance| instance.node.status().counts.queries).sum();
+    print(
+        "told first, filters",
+        seed,
+        net.tally.opened,
+        net.tally.broken,
+        sent as f64 / seconds / INSTANCES as f64,
+        queries as f64 / seconds,
+    );
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Modulo,
+    Consistent,
+    Replication,
+}
+
+fn print(way: &str, seed: u64, flows: u64, broken: u64, bytes: f64, questions: f64) {
+    println!("{way:27} {seed:5} {flows:7} {broken:7} {bytes:28.0} {questions:12.1}");
+}
+
+/// Instances that learn of changes unevenly, with local entries or without.
+fn baseline(way: Way, seed: u64) {
+    const LAG_STEPS: u64 = 40;
+    const ENTRY_BYTES: u64 = 16;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let targets: BTreeSet<usize> = (0..14).collect();
+    let mut leaving = BTreeSet::new();
+    let mut tables = vec![table(&targets, &leaving); INSTANCES];
+    let mut entries: Vec<HashMap<u64, String>> = vec![HashMap::new(); INSTANCES];
+    let mut flows: BTreeMap<u64, String> = BTreeMap::new();
+    let (mut opened, mut broken, mut bytes) = (0u64, 0u64, 0u64);
+    for change_number in 0..=CHANGES {
+        let mut due = vec![0; INSTANCES];
+        if change_number > 0 {
+            change(&mut rng, &targets, &mut leaving);
+            due = (0..INSTANCES).map(|_| rng.random_range(0..LAG_STEPS)).collect();
+            entries[change_number % INSTANCES].clear();
+        }
+        let next = table(&targets, &leaving);
+        for step in 0..CHANGE_MS / STEP_MS {
+            for instance in 0..INSTANCES {
+                if due[instance] == step {
+                    tables[instance] = next.clone();
+                }
+            }
+            let mut packets: Vec<u64> = Vec::new();
+            let keys: Vec<u64> = flows.keys().copied().collect();
+            if !keys.is_empty() {
+                packets.extend((0..FLOWS / 40).map(|_| keys[rng.random_range(0..keys.len())]));
+            }
+            let fresh = if change_number == 0 && step == 0 { FLOWS } else { FLOWS / 400 };
+            for _ in 0..fresh {
+                opened += 1;
+                packets.push(flow::key_hash(&opened.to_le_bytes()));
+            }
+            for key in packets {
+                let instance = rng.random_range(0..INSTANCES);
+                let computed = match way {
+                    Way::Modulo => {
+                        let names = tables[instance].names();
+                        names[(key % names.len() as u64) as usize].to_string()
+                    }
+                    _ => tables[instance].target(key).map(|name| name.to_string()).unwrap_or_default(),
+                };
+                let held = if way == Way::Modulo { None } else { entries[instance].get(&key).cloned() };
+                let target = held.unwrap_or(computed);
+                if way != Way::Modulo {
+                    entries[instance].insert(key, target.clone());
+                }
+                match flows.get(&key) {
+                    None => {
+                        flows.insert(key, target.clone());
+                        if way == Way::Replication {
+                            for held in &mut entries {
+                                held.insert(key, target.clone());
+                            }
+                            bytes += ENTRY_BYTES * (INSTANCES as u64 - 1);
+                        }
+                    }
+                    Some(first) if *first != target => {
+                        broken += 1;
+                        flows.remove(&key);
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+    }
+    let seconds = (CHANGES as u64 * CHANGE_MS) as f64 / 1_000.0;
+    let name = match way {
+        Way::Modulo => "modulo",
+        Way::Consistent => "consistent, local entries",
+        Way::Replication => "full replication, at once",
+    };
+    print(name, seed, opened, broken, bytes as f64 / seconds / INSTANCES as f64, 0.0);
+}
+
+fn table(targets: &BTreeSet<usize>, leaving: &BTreeSet<usize>) -> Table {
+    let serving = targets.difference(leaving);
+    let members: Vec<Member> = serving.map(|number| Member::new(format!("m{number}"), 1)).collect();
+    Table::new(&members)
+}
--- /dev/null
+++ b/benches/slopes.rs
@@ -0,0 +1,184 @@
+//! Prints the slopes from which docs/CAPACITY.md is worked out.
+
+use std::{net::SocketAddr, time::Instant};
+
+use ragwortlb::{
+    config::{
+        File, Folder,
+        revision::{Bundle, Head, Manifest},
+    },
+    member::{Digest, Heartbeat, State},
+    node::{Action, Event, Node, Settings},
+    route::{
+        change::Progress,
+        filter::Filter,
+        flow::{self, Flows},
+    },
+    time::Time,
+    wire::{Flow, Frame, Message, RequestId, ServiceId},
+};
+
+/// Simulated time over which a node runs with its peers, in milliseconds.
+const RUN_MS: u64 = 60_000;
+
+/// Time between ticks, in milliseconds.
+const TICK_MS: u64 = 5;
+
+fn main() {
+    if std::env::args().any(|arg| arg == "--test") {
+        return;
+    }
+    control();
+    flows();
+    filters();
+    configuration();
+    messages();
+}
+
+fn address(index: usize) -> SocketAddr {
+    format!("10.9.{}.{}:7400", index / 250, index % 250 + 1).parse().expect("an address")
+}
+
+fn digest(index: usize, beat: u64) -> Digest {
+    Digest {
+        name: format!("instance-{index}").into(),
+        address: address(index),
+        zone: format!("z{}", index % 5).into(),
+        incarnation: 1_790_000_000_000,
+        beat,
+        state: State::Serving,
+        revision: 1,
+        progress: Progress::default(),
+    }
+}
+
+/// Folder with services of 12 or 13 targets.
+fn folder(services: usize, targets: usize) -> Folder {
+    let per = targets / services.max(1);
+    let service = |s: usize| {
+        let target = |t: usize| {
+            let number = s * per + t;
+            format!(
+                "\"t{t}\": {{\"address\": \"10.{}.{}.{}:9000\", \"zone\": \"z{}\", \"slots\": 3}}",
+                20 + number / 60_000,
+                number / 250 % 240,
+                number % 250 + 1,
+                t % 5
+            )
+        };
+        let targets: Vec<String> = (0..per).map(target).collect();
+        let address = format!("10.1.{}.{}:7000", s / 250, s % 250 + 1);
+        format!("\"s{s}\": {{\"address\": \"{address}\", \"targets\": {{{}}}}}", targets.join(", "))
+    };
+    let file = |s: usize| {
+        let text = format!(
+            "{{\"title\": \"t\", \"author\": \"a\", \"reason\": \"r\", \"services\": {{{}}}}}",
+            service(s)
+        );
+        File::new(format!("{s:04}.jsonc"), text.into_bytes())
+    };
+    Folder::new((0..services).map(file).collect())
+}
+
+fn bundle(folder: &Folder) -> Bundle {
+    let head = Head::after(None, Manifest::of(folder).digest(), "c1");
+    Bundle::new(head, folder.clone()).expect("the digest is its own")
+}
+
+/// A node among peers that beat, without changes.
+fn control() {
+    println!("peers  control bytes/s  tick+frames, % of a core");
+    for peers in [8, 64, 256, 579] {
+        let mut node = Node::new(Settings { name: "own".into(), ..Settings::default() });
+        node.handle(Event::Accepted(bundle(&folder(10, 120))), Time(0));
+        let mut sent = 0;
+        let mut took = std::time::Duration::ZERO;
+        for now in (0..RUN_MS).step_by(TICK_MS as usize) {
+            let mut events = vec![Event::Tick];
+            if now % 500 == 0 {
+                let first = if now == 0 { 0 } else { peers - 8 };
+                for index in first..peers {
+                    let heartbeat = Heartbeat { digest: digest(index, now / 500 + 1), rumours: Vec::new() };
+                    let sender = format!("instance-{index}").into();
+                    let frame = Frame { sender, messages: vec![Message::Heartbeat(heartbeat)] };
+                    events.push(Event::Frame(frame));
+                }
+            }
+            let start = Instant::now();
+            for event in events {
+                for action in node.handle(event, Time(now)) {
+                    if let Action::Send { message, .. } = action {
+                        sent += message.bytes();
+                    }
+                }
+            }
+            took += start.elapsed();
+        }
+        let seconds = RUN_MS as f64 / 1_000.0;
+        println!("{peers:5}  {:15.0}  {:10.3}", sent as f64 / seconds, took.as_secs_f64() / seconds * 100.0);
+    }
+}
+
+fn resident_bytes() -> f64 {
+    const PAGE: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse::<f64>().ok()).unwrap_or_default() * PAGE
+}
+
+fn flows() {
+    println!("\nflows held  resident bytes a flow");
+    for count in [100_000u64, 1_000_000, 4_000_000] {
+        let before = resident_bytes();
+        let mut flows = Flows::new(10_000_000, 3_600);
+        for number in 0..count {
+            flows.insert(flow::key_hash(&number.to_le_bytes()), 1, Time(0));
+        }
+        println!("{count:10}  {:8.1}", (resident_bytes() - before) / count as f64);
+        drop(flows);
+    }
+}
+
+fn filters() {
+    println!("\nold flows  filter bytes a flow  false positives in 10,000");
+    for count in [100u64, 1_300, 21_000, 300_000] {
+        let keys: Vec<u64> = (0..count).map(|number| flow::key_hash(&number.to_le_bytes())).collect();
+        let filter = Filter::of(&keys);
+        let others = (count..count + 100_000).map(|number| flow::key_hash(&number.to_le_bytes()));
+        let wrong = others.filter(|key| filter.contains(*key)).count();
+        println!("{count:9}  {:12.2}  {:12.1}", filter.bytes() as f64 / count as f64, wrong as f64 / 10.0);
+    }
+}
+
+fn configuration() {
+    println!("\nservices targets  folder bytes  manifest bytes  check+adopt ms");
+    for (services, targets) in [(2, 18), (43, 540), (430, 5_400)] {
+        let folder = folder(services, targets);
+        let bytes: usize = folder.files().iter().map(|file| file.bytes.len()).sum();
+        let manifest = Manifest::of(&folder).to_json().len();
+        let mut node = Node::new(Settings::default());
+        let bundle = bundle(&folder);
+        let start = Instant::now();
+        node.handle(Event::Accepted(bundle), Time(0));
+        let took = start.elapsed().as_secs_f64() * 1_000.0;
+        println!("{services:8} {targets:7}  {bytes:12}  {manifest:14}  {took:10.1}");
+    }
+}
+
+fn messages() {
+    println!("\nmessage                bytes");
+    let flow = Flow { service: ServiceId::of("booking"), id: u64::MAX };
+    let target = ragwortlb::route::router::TargetId::of("m1");
+    let id = RequestId { flow, number: 1_000 };
+    let heartbeat = Heartbeat { digest: digest(579, 10_000), rumours: Vec::new() };
+    for message in [
+        Message::Heartbeat(heartbeat),
+        Message::Register(100_000, flow, target),
+        Message::Registered(100_000, Some(target)),
+        Message::Query(100_000, flow),
+        Message::Found(100_000, Some(target), true),
+        Message::Claim(100_000, id, true),
+        Message::AskSlot(100_000, flow.service, Some(target), 100),
+    ] {
+        println!("{:20}  {:6}", message.kind(), message.bytes());
+    }
+}
--- a/src/member.rs
+++ b/src/member.rs
@@ -46,6 +46,9 @@
 /// Pause of this instance after which its view counts as old, in milliseconds.
 pub const PAUSE_MS: u64 = 1_000;
 
+/// Time after which a serving instance has all that keepers hand to it, in milliseconds.
+pub const ESTABLISHED_MS: u64 = 3_000;
+
 /// Beats by which observers of one peer may differ.
 const BEAT_SPREAD: u64 = SUSPECT_MS / HEARTBEAT_MS;
 
@@ -152,6 +155,7 @@
 struct Peer {
     digest: Digest,
     heard: Time,
+    serving_since: Option<Time>,
     suspicions: BTreeSet<Arc<str>>,
     lost: bool,
 }
@@ -173,6 +177,7 @@
     next_beat: Time,
     last_tick: Option<Time>,
     awaiting_word: bool,
+    own_serving_since: Option<Time>,
 }
 
 impl Roster {
@@ -187,6 +192,7 @@
             next_beat: Time::default(),
             last_tick: None,
             awaiting_word: false,
+            own_serving_since: None,
         }
     }
 
@@ -235,6 +241,19 @@
         all
     }
 
+    /// Candidates that have served long enough to have all that is handed to a new
+    /// one; all of them if fewer than two have.
+    pub fn established(&self, now: Time) -> Vec<Candidate> {
+        let is_old = |since: Option<Time>| since.is_some_and(|since| now.since(since) >= ESTABLISHED_MS);
+        let is_established = |candidate: &Candidate| match self.peers.get(&candidate.name) {
+            Some(peer) => is_old(peer.serving_since),
+            None => is_old(self.own_serving_since),
+        };
+        let all = self.candidates();
+        let old: Vec<Candidate> = all.iter().filter(|c| is_established(c)).cloned().collect();
+        if old.len() < 2 { all } else { old }
+    }
+
     /// Names of the instances that take part in changes, this one included.
     pub fn participants(&self) -> Vec<Arc<str>> {
         let own = std::iter::once(self.own.name.clone());
@@ -293,6 +312,12 @@
         self.last_tick = Some(now);
         if pause >= PAUSE_MS {
             self.forgive(now);
+            self.own_serving_since = None;
+        }
+        if self.own.state != State::Serving {
+            self.own_serving_since = None;
+        } else {
+            self.own_serving_since.get_or_insert(now);
         }
         let mut changes = Vec::new();
         for suspicion in self.silent(now) {
@@ -329,7 +354,13 @@
         let name = digest.name.clone();
         let Some(peer) = self.peers.get_mut(&name) else {
             let is_there = digest.state != State::Left;
-            let peer = Peer { digest: digest.clone(), heard: now, suspicions: BTreeSet::new(), lost: false };
+            let peer = Peer {
+                serving_since: (digest.state == State::Serving).then_some(now),
+                digest: digest.clone(),
+                heard: now,
+                suspicions: BTreeSet::new(),
+                lost: false,
+            };
             self.peers.insert(name.clone(), peer);
             if is_there {
                 changes.push(Change::Joined(name));
@@ -343,6 +374,12 @@
         let was_there = !peer.lost && peer.digest.state != State::Left;
         let restarted = digest.incarnation != peer.digest.incarnation;
         let differs = digest.differs_from(&peer.digest) || peer.lost;
+        let serves_on = was_there && !restarted && peer.digest.state == State::Serving;
+        if digest.state != State::Serving {
+            peer.serving_since = None;
+        } else if !serves_on {
+            peer.serving_since = Some(now);
+        }
         peer.digest = digest.clone();
         peer.heard = now;
         peer.suspicions.clear();
@@ -451,7 +488,15 @@
         let own = hash::name(&self.own.name);
         let start = ring.partition_point(|(at, _)| *at <= own);
         let count = ring.len().min(FANOUT);
-        (0..count).map(|i| ring[(start + i) % ring.len()].1.address).collect()
+        let live = (0..count).map(|i| ring[(start + i) % ring.len()].1.address);
+        live.chain(self.lost_neighbour()).collect()
+    }
+
+    /// A lost peer that is greeted in case it is back, each in turn.
+    fn lost_neighbour(&self) -> Option<SocketAddr> {
+        let lost: Vec<&Peer> = self.peers.values().filter(|peer| peer.lost).collect();
+        let turn = self.own.beat as usize % lost.len().max(1);
+        lost.get(turn).map(|peer| peer.digest.address)
     }
 
     /// Reports whether this instance gets a peer's heartbeats directly.
@@ -469,9 +514,9 @@
         between < FANOUT
     }
 
-    /// Peers that may be alive, by the hash of their names.
+    /// Live peers, by the hash of their names.
     fn ring(&self) -> Vec<(u64, &Digest)> {
-        let there = |peer: &&Peer| peer.digest.state != State::Left;
+        let there = |peer: &&Peer| !peer.lost && peer.digest.state != State::Left;
         let placed = |peer: &'_ Peer| hash::name(&peer.digest.name);
         let mut ring: Vec<_> =
             self.peers.values().filter(there).map(|peer| (placed(peer), &peer.digest)).collect();
--- a/src/node.rs
+++ b/src/node.rs
@@ -277,9 +277,10 @@
             Message::Snapshot(snapshot) => self.take_snapshot(snapshot),
             Message::Claim(question, id, is_first) => self.judge_claim(sender, question, id, is_first),
             Message::Claimed(question, claimed) => self.take_claimed(sender, question, claimed),
-            Message::Copy(question, id, owner) => self.hold_copy(sender, question, id, owner),
-            Message::Copied(question, held) => self.take_copied(question, held),
-            Message::Finish(id, ending) => self.take_finish(id, ending),
+            Message::Copy(question, id, holder) => self.hold_copy(sender, question, id, holder),
+            Message::Copied(question, held) => self.take_copied(sender, question, held),
+            Message::Finish(id, claim, ending) => self.take_finish(sender, id, claim, ending),
+            Message::Ended(id, holder, ending) => self.take_ended(id, &holder, ending),
             Message::WantOutcome(id) => self.give_outcome(sender, id),
             Message::Outcome(id, outcome) => self.end_joined(id, &outcome),
             Message::AskSlot(question, service, target, left_ms) => {
--- a/src/node/job.rs
+++ b/src/node/job.rs
@@ -53,6 +53,8 @@
     pub(super) runs: u32,
     /// Record held by keepers.
     pub(super) record: Option<RequestId>,
+    /// Number of its claim.
+    pub(super) claim: u32,
     /// Whether a run may have taken effect.
     pub(super) may_have_run: bool,
 }
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     hash,
+    retry::record::Holder,
     route::keeper::{self, Candidate},
     wire::{Claimed, Ending, Flow, Message, Outcome, RequestId},
 };
@@ -17,6 +18,9 @@
 /// Wait for the second keeper's answer, in milliseconds.
 const COPY_MS: u64 = 100;
 
+/// Time for which former keepers count too, in milliseconds.
+const OVERLAP_MS: u64 = 1_000;
+
 /// Wait for the first keeper's answer, in milliseconds.
 const CLAIM_MS: u64 = 250;
 
@@ -40,6 +44,9 @@
             return;
         };
         let number = self.ask(Topic::Claim(ticket), [first.clone()], vec![ticket], CLAIM_MS);
+        if let Some(work) = self.work(ticket) {
+            work.claim = number;
+        }
         if first == own {
             self.judge_claim(&own, number, id, is_first);
         } else {
@@ -48,7 +55,23 @@
     }
 
     fn record_keepers(&self, id: RequestId) -> Vec<Arc<str>> {
-        keeper::keepers(&self.candidates, record_key(id))
+        keeper::keepers(&self.roster.established(self.now), record_key(id))
+    }
+
+    /// Other live instances that some instance may take for a keeper: present,
+    /// coming and former ones.
+    fn possible_keepers(&self, id: RequestId) -> Vec<Arc<str>> {
+        let key = record_key(id);
+        let mut possible = self.record_keepers(id);
+        possible.extend(keeper::keepers(&self.candidates, key));
+        for (_, older) in &self.older_candidates {
+            possible.extend(keeper::keepers(older, key));
+        }
+        possible.extend(keeper::keepers(&self.roster.established(self.now - OVERLAP_MS), key));
+        possible.sort();
+        possible.dedup();
+        possible.retain(|name| *name != self.settings.name && self.roster.is_live(name));
+        possible
     }
 
     /// Judges a claim as the first keeper.
@@ -61,14 +84,18 @@
         let roster = &self.roster;
         let own = &self.settings.name;
         let is_live = |peer: &str| peer == &**own || roster.is_live(peer);
-        let claimed = self.records.claim(id, claimant, is_first, is_live, self.now);
-        let Some(second) = keepers.get(1).filter(|_| claimed == Claimed::Granted) else {
+        let holder = Holder { instance: claimant.clone(), claim: number };
+        let claimed = self.records.claim(id, &holder, is_first, is_live, self.now);
+        let others = self.possible_keepers(id);
+        if claimed != Claimed::Granted || others.is_empty() {
             self.answer_claim(claimant, number, claimed);
             return;
-        };
+        }
         let topic = Topic::Copy(id, claimant.clone(), number);
-        let copy = self.ask(topic, [second.clone()], Vec::new(), COPY_MS);
-        self.send(second, Message::Copy(copy, id, claimant.clone()));
+        let copy = self.ask(topic, others.iter().cloned(), Vec::new(), COPY_MS);
+        for other in others {
+            self.send(&other, Message::Copy(copy, id, holder.clone()));
+        }
     }
 
     fn answer_claim(&mut self, claimant: &Arc<str>, number: u32, claimed: Claimed) {
@@ -80,12 +107,16 @@
         }
     }
 
-    pub(super) fn hold_copy(&mut self, sender: &Arc<str>, copy: u32, id: RequestId, owner: Arc<str>) {
-        let held = self.records.copy(id, &owner, self.now);
+    pub(super) fn hold_copy(&mut self, sender: &Arc<str>, copy: u32, id: RequestId, holder: Holder) {
+        let held = self.records.copy(id, &holder, self.now);
         self.send(sender, Message::Copied(copy, held));
     }
 
-    pub(super) fn take_copied(&mut self, number: u32, held: bool) {
+    pub(super) fn take_copied(&mut self, sender: &Arc<str>, number: u32, held: bool) {
+        let all_hold = self.answered(number, sender);
+        if held && !all_hold {
+            return;
+        }
         let Some(question) = self.questions.remove(&number) else {
             return;
         };
@@ -101,7 +132,8 @@
             return;
         }
         let why: Arc<str> = "its second keeper did not answer".into();
-        self.end_record(id, Ending::NotRun(why));
+        let holder = Holder { instance: claimant.clone(), claim };
+        self.end_record(id, &holder, Ending::NotRun(why));
         self.answer_claim(&claimant, claim, Claimed::Refused);
     }
 
@@ -165,30 +197,32 @@
     }
 
     /// Tells the keepers of a request what became of it.
-    pub(super) fn finish_record(&mut self, id: RequestId, outcome: &Outcome) {
+    pub(super) fn finish_record(&mut self, id: RequestId, claim: u32, outcome: &Outcome) {
         if let Outcome::Done(answer) = outcome {
             self.answers.keep(id, answer.clone(), self.now);
         }
-        for keeper in self.record_keepers(id) {
-            if keeper == self.settings.name {
-                self.end_record(id, Ending::from(outcome));
-            } else {
-                self.send(&keeper, Message::Finish(id, Ending::from(outcome)));
-            }
+        let holder = Holder { instance: self.settings.name.clone(), claim };
+        for keeper in self.possible_keepers(id) {
+            self.send(&keeper, Message::Finish(id, claim, Ending::from(outcome)));
         }
+        self.end_record(id, &holder, Ending::from(outcome));
     }
 
     /// Takes the ending of a request, as its keeper.
-    pub(super) fn take_finish(&mut self, id: RequestId, ending: Ending) {
-        self.end_record(id, ending);
+    pub(super) fn take_finish(&mut self, sender: &Arc<str>, id: RequestId, claim: u32, ending: Ending) {
+        let holder = Holder { instance: sender.clone(), claim };
+        self.end_record(id, &holder, ending);
     }
 
-    fn end_record(&mut self, id: RequestId, ending: Ending) {
-        let owner = self.records.owner(id);
-        let joined = self.records.finish(id, ending.clone(), self.now);
-        if let Some(owner) = owner {
-            self.tell_joined(id, joined, &owner, &ending);
-        }
+    /// Takes a record that has ended over from another keeper.
+    pub(super) fn take_ended(&mut self, id: RequestId, holder: &Holder, ending: Ending) {
+        self.records.copy(id, holder, self.now);
+        self.end_record(id, holder, ending);
+    }
+
+    fn end_record(&mut self, id: RequestId, holder: &Holder, ending: Ending) {
+        let joined = self.records.finish(id, holder, ending.clone(), self.now);
+        self.tell_joined(id, joined, &holder.instance, &ending);
     }
 
     /// Lets those who joined a request know its outcome. An answer comes from the
@@ -282,20 +316,22 @@
 
     /// Copies records to keepers that are new.
     pub(super) fn hand_records(&mut self, older: &[Candidate]) {
-        let mut copies = Vec::new();
-        for (id, owner, outcome) in self.records.iter() {
+        let mut messages = Vec::new();
+        for (id, holder, ending) in self.records.iter() {
             let before = keeper::keepers(older, record_key(id));
-            for peer in self.record_keepers(id) {
-                if peer != self.settings.name && !before.contains(&peer) {
-                    copies.push((peer, id, owner.clone(), outcome.cloned()));
+            for peer in keeper::keepers(&self.candidates, record_key(id)) {
+                if peer == self.settings.name || before.contains(&peer) {
+                    continue;
                 }
+                let message = match ending {
+                    None => Message::Copy(0, id, holder.clone()),
+                    Some(ending) => Message::Ended(id, holder.clone(), ending.clone()),
+                };
+                messages.push((peer, message));
             }
         }
-        for (peer, id, owner, outcome) in copies {
-            self.send(&peer, Message::Copy(0, id, owner));
-            if let Some(outcome) = outcome {
-                self.send(&peer, Message::Finish(id, outcome));
-            }
+        for (peer, message) in messages {
+            self.send(&peer, message);
         }
     }
 }
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -48,6 +48,7 @@
             avoid: Vec::new(),
             runs: 0,
             record: None,
+            claim: 0,
             may_have_run: false,
         };
         self.jobs.insert(request.ticket, Job::Work(Box::new(work)));
@@ -210,7 +211,7 @@
             Outcome::Done(_) | Outcome::Failed(_) => {}
         }
         if let Some(record) = work.record.filter(|_| work.stage != Stage::Joined) {
-            self.finish_record(record, &outcome);
+            self.finish_record(record, work.claim, &outcome);
         }
         self.out.push(Action::Reply { ticket, outcome });
     }
--- a/src/retry/record.rs
+++ b/src/retry/record.rs
@@ -12,6 +12,8 @@
     sync::Arc,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     time::Time,
     wire::{Claimed, Ending, RequestId},
@@ -35,10 +37,20 @@
     Ended(Ending),
 }
 
+/// Who may run a request: an instance, by one of its claims.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Holder {
+    /// Instance.
+    pub instance: Arc<str>,
+    /// Number of its claim.
+    pub claim: u32,
+}
+
 /// Record of one request.
 #[derive(Clone, Debug)]
 struct Record {
-    owner: Arc<str>,
+    holder: Holder,
     state: State,
     joined: Vec<Arc<str>>,
 }
@@ -57,7 +69,7 @@
     pub fn claim(
         &mut self,
         id: RequestId,
-        owner: &Arc<str>,
+        holder: &Holder,
         is_first: bool,
         is_live: impl Fn(&str) -> bool,
         now: Time,
@@ -66,44 +78,42 @@
             if !is_first {
                 return Claimed::Lost;
             }
-            return if self.insert(id, owner, now) { Claimed::Granted } else { Claimed::Refused };
+            return if self.insert(id, holder, now) { Claimed::Granted } else { Claimed::Refused };
         };
         match &record.state {
             State::Ended(Ending::NotRun(_)) => {
-                record.owner = owner.clone();
+                record.holder = holder.clone();
                 record.state = State::Running;
                 Claimed::Granted
             }
-            State::Ended(ending) => Claimed::Ended(record.owner.clone(), ending.clone()),
-            State::Running if !is_live(&record.owner) => Claimed::Lost,
+            State::Ended(ending) => Claimed::Ended(record.holder.instance.clone(), ending.clone()),
+            State::Running if !is_live(&record.holder.instance) => Claimed::Lost,
             State::Running => {
-                record.joined.push(owner.clone());
-                Claimed::Joined(record.owner.clone())
+                record.joined.push(holder.instance.clone());
+                Claimed::Joined(record.holder.instance.clone())
             }
         }
     }
 
     /// Takes a copy from the first keeper. Returns whether it is held.
-    pub fn copy(&mut self, id: RequestId, owner: &Arc<str>, now: Time) -> bool {
+    pub fn copy(&mut self, id: RequestId, holder: &Holder, now: Time) -> bool {
         if let Some(record) = self.records.get_mut(&id) {
-            let free = record.owner == *owner || matches!(record.state, State::Ended(Ending::NotRun(_)));
+            if record.holder == *holder {
+                return record.state == State::Running;
+            }
+            let free = matches!(record.state, State::Ended(Ending::NotRun(_)));
             if free {
-                record.owner = owner.clone();
+                record.holder = holder.clone();
                 record.state = State::Running;
             }
             return free;
         }
-        self.insert(id, owner, now)
-    }
-
-    /// Instance that runs a request or ran it.
-    pub fn owner(&self, id: RequestId) -> Option<Arc<str>> {
-        self.records.get(&id).map(|record| record.owner.clone())
+        self.insert(id, holder, now)
     }
 
-    /// Ends a request. Returns the peers that joined it.
-    pub fn finish(&mut self, id: RequestId, ending: Ending, now: Time) -> Vec<Arc<str>> {
-        let Some(record) = self.records.get_mut(&id) else {
+    /// Ends a request by the word of its holder. Returns the peers that joined it.
+    pub fn finish(&mut self, id: RequestId, holder: &Holder, ending: Ending, now: Time) -> Vec<Arc<str>> {
+        let Some(record) = self.records.get_mut(&id).filter(|record| record.holder == *holder) else {
             return Vec::new();
         };
         record.state = State::Ended(ending);
@@ -116,7 +126,7 @@
     pub fn abandon(&mut self, owner: &str) -> Vec<(RequestId, Vec<Arc<str>>)> {
         let mut abandoned = Vec::new();
         for (id, record) in &mut self.records {
-            if &*record.owner == owner && record.state == State::Running {
+            if &*record.holder.instance == owner && record.state == State::Running {
                 record.state = State::Ended(Ending::Unknown("the instance that ran it was lost".into()));
                 abandoned.push((*id, std::mem::take(&mut record.joined)));
             }
@@ -124,11 +134,11 @@
         abandoned
     }
 
-    /// Records that are to be copied when keepers change: id, owner, and outcome if ended.
-    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Arc<str>, Option<&Ending>)> {
+    /// Records that are to be copied when keepers change: id, holder, and ending if ended.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestId, &Holder, Option<&Ending>)> {
         self.records.iter().map(|(id, record)| match &record.state {
-            State::Running => (*id, &record.owner, None),
-            State::Ended(ending) => (*id, &record.owner, Some(ending)),
+            State::Running => (*id, &record.holder, None),
+            State::Ended(ending) => (*id, &record.holder, Some(ending)),
         })
     }
 
@@ -153,12 +163,12 @@
         self.records.is_empty()
     }
 
-    fn insert(&mut self, id: RequestId, owner: &Arc<str>, now: Time) -> bool {
+    fn insert(&mut self, id: RequestId, holder: &Holder, now: Time) -> bool {
         self.expire(now);
         if self.records.len() >= MAX_RECORDS {
             return false;
         }
-        let record = Record { owner: owner.clone(), state: State::Running, joined: Vec::new() };
+        let record = Record { holder: holder.clone(), state: State::Running, joined: Vec::new() };
         self.records.insert(id, record);
         self.order.push_back((now, id));
         true
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -28,6 +28,7 @@
         revision::{Bundle, Digest, Head, Manifest},
     },
     member::{self, Heartbeat},
+    retry::record::Holder,
     route::{
         change::Version,
         filter::{Filter, SlotSet},
@@ -184,11 +185,13 @@
     /// Keeper's answer to a claim.
     Claimed(u32, Claimed),
     /// Copy of a record for the second keeper.
-    Copy(u32, RequestId, Arc<str>),
+    Copy(u32, RequestId, Holder),
     /// Second keeper's answer.
     Copied(u32, bool),
-    /// A claimed request has ended.
-    Finish(RequestId, Ending),
+    /// A request that the sender claimed under this number has ended.
+    Finish(RequestId, u32, Ending),
+    /// Record that has ended, for a new keeper.
+    Ended(RequestId, Holder, Ending),
     /// Asks the instance that ran a request for its outcome.
     WantOutcome(RequestId),
     /// Outcome of a request that the receiver joined.
@@ -320,7 +323,9 @@
             Message::Heritage(_) | Message::Inherited => "heritage",
             Message::WantSnapshot | Message::Snapshot(_) => "snapshot",
             Message::Claim(..) | Message::Claimed(..) | Message::Copy(..) | Message::Copied(..) => "claim",
-            Message::Finish(..) | Message::WantOutcome(_) | Message::Outcome(..) => "outcome",
+            Message::Finish(..) | Message::Ended(..) | Message::WantOutcome(_) | Message::Outcome(..) => {
+                "outcome"
+            }
             Message::AskSlot(..) | Message::Grant(..) | Message::Release(_) | Message::Deny(_) => "slot",
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod targets;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
