Say that a request did not run where its first keeper knows it

Cause: measure keeper-kill gave 7.2% unknown outcomes; most were second attempts after a refusal, though the first keeper's record proved that nothing had run.

--- a/benches/compare.rs
+++ b/benches/compare.rs
@@ -61,7 +61,8 @@
         for _ in 0..CHANGE_MS / STEP_MS {
             let keys: Vec<u64> = net.flows.keys().copied().collect();
             for _ in 0..FLOWS / 40 {
-                net.follow(keys[net.rng.random_range(0..keys.len())], None);
+                let flow = keys[net.rng.random_range(0..keys.len())];
+                net.follow(flow, None);
             }
             for _ in 0..FLOWS / 400 {
                 net.open(None);
--- a/crates/ragwortlb-cli/tests/accept_race.rs
+++ b/crates/ragwortlb-cli/tests/accept_race.rs
@@ -123,7 +123,7 @@
     let check = site.run(&["check", site.dir()]).await;
     assert_eq!(check.status.code(), Some(1));
     assert!(
-        err(&check).contains("10-site.jsonc:2:74: 0 is not a whole number from 1 to 10000"),
+        err(&check).contains("10-site.jsonc:2:79: 0 is not a whole number from 1 to 10000"),
         "{}",
         err(&check)
     );
--- a/crates/ragwortlb-standin/src/measure/monitor.rs
+++ b/crates/ragwortlb-standin/src/measure/monitor.rs
@@ -148,10 +148,11 @@
             monitor.lock().daemons.iter().map(|(name, seen)| (name.clone(), seen.operators)).collect();
         for (name, operators) in daemons {
             let answer = client.get(format!("http://{operators}/v1/status")).send().await;
-            if let Ok(answer) = answer {
-                if let Ok(state) = answer.json::<State>().await {
-                    monitor.note(&name, &state);
-                }
+            let Ok(answer) = answer else {
+                continue;
+            };
+            if let Ok(state) = answer.json::<State>().await {
+                monitor.note(&name, &state);
             }
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/ragwortlbd/src/program.rs
+++ b/crates/ragwortlbd/src/program.rs
@@ -65,12 +65,22 @@
     Ok(Settings::parse(&path.display().to_string(), bytes)?)
 }
 
-#[tokio::main]
-async fn serve(settings: &Settings) -> Result<()> {
+/// Runs the daemon. The exporter of traces blocks, so it is made and ended
+/// outside the runtime.
+fn serve(settings: &Settings) -> Result<()> {
     let traces = match &settings.traces {
         Some(url) => Some(spans::export(url, &settings.name)?),
         None => None,
     };
+    let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
+    let served = runtime.block_on(run_daemon(settings));
+    if let Some(Err(error)) = traces.map(|traces| traces.shutdown()) {
+        log::warn!("E104 spans were not sent: {error}");
+    }
+    served
+}
+
+async fn run_daemon(settings: &Settings) -> Result<()> {
     let daemon = Daemon::start(settings).await?;
     log::info!("E100 started as {} in {}", settings.name, settings.zone);
     let mut term = signal(SignalKind::terminate())?;
@@ -82,9 +92,6 @@
         () = core.stopped() => {}
     }
     daemon.finish().await?;
-    if let Some(traces) = traces {
-        let _ = traces.shutdown();
-    }
     log::info!("E103 stopped");
     Ok(())
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -404,14 +404,17 @@
         };
         let latest = (suspicion.incarnation, suspicion.beat.saturating_add(BEAT_SPREAD));
         let stale = latest < (peer.digest.incarnation, peer.digest.beat);
+        if peer.digest.state == State::Left {
+            let left = peer.digest.clone();
+            self.tell(Rumour::Digest(left));
+            return;
+        }
         if stale || peer.lost || !peer.suspicions.insert(suspicion.observer.clone()) {
             return;
         }
         if peer.suspicions.len() >= observers {
             peer.lost = true;
-            if peer.digest.state != State::Left {
-                changes.push(Change::Lost(suspicion.subject.clone()));
-            }
+            changes.push(Change::Lost(suspicion.subject.clone()));
         }
         if suspicion.observer != self.own.name {
             self.tell(Rumour::Suspicion(suspicion));
@@ -427,7 +430,8 @@
     }
 
     fn silent(&self, now: Time) -> Vec<Suspicion> {
-        let silent = |peer: &&Peer| !peer.lost && now.since(peer.heard) >= SUSPECT_MS;
+        let is_there = |peer: &Peer| !peer.lost && peer.digest.state != State::Left;
+        let silent = |peer: &&Peer| is_there(peer) && now.since(peer.heard) >= SUSPECT_MS;
         let observed = |peer: &&Peer| self.observes(&peer.digest);
         self.peers.values().filter(silent).filter(observed).map(|peer| self.suspicion(peer)).collect()
     }
@@ -470,7 +474,7 @@
 
     /// Spreads a rumour, unless every peer hears of it directly.
     fn tell(&mut self, rumour: Rumour) {
-        if matches!(rumour, Rumour::Digest(_)) && self.live().count() <= FANOUT {
+        if matches!(rumour, Rumour::Digest(_)) && self.live().count() < FANOUT {
             return;
         }
         let repeats = self.peers.len().max(2).ilog2() + 1;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -134,7 +134,7 @@
         let why: Arc<str> = "its second keeper did not answer".into();
         let holder = Holder { instance: claimant.clone(), claim };
         self.end_record(id, &holder, Ending::NotRun(why));
-        self.answer_claim(&claimant, claim, Claimed::Refused);
+        self.answer_claim(&claimant, claim, Claimed::NotHeld);
     }
 
     pub(super) fn take_claimed(&mut self, _sender: &Arc<str>, number: u32, claimed: Claimed) {
@@ -155,6 +155,10 @@
                 let why = "an earlier attempt may have run, and its record is lost";
                 self.end_without_record(ticket, Outcome::Unknown(why.into()));
             }
+            Claimed::NotHeld => {
+                let why = "its keepers could not hold a record";
+                self.end_without_record(ticket, Outcome::NotRun(why.into()));
+            }
             Claimed::Refused => self.refuse_claim(ticket),
         }
     }
@@ -180,7 +184,7 @@
 
     fn refuse_claim(&mut self, ticket: Ticket) {
         let first = self.work(ticket).is_some_and(|work| work.request.attempt <= 1);
-        let why = "its keepers could not hold a record";
+        let why = "its first keeper refused it";
         if first {
             self.end_without_record(ticket, Outcome::NotRun(why.into()));
         } else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -232,7 +232,9 @@
     Ended(Arc<str>, Ending),
     /// An earlier attempt may have run and nothing is known of it.
     Lost,
-    /// The instance is not the first keeper, or no second one answered.
+    /// No attempt has run, but not all keepers could hold a copy.
+    NotHeld,
+    /// The instance is not the first keeper, or has no room.
     Refused,
 }
 
