Let a target be back only by answers from after its leaving

Cause: each answer says whether its target leaves, and one from before that came late would have called it back, one change of tables for each.

--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -19,6 +19,9 @@
     wire::{Message, Old, Round, ServiceId, TargetState},
 };
 
+/// Time for which answers from before a target's leaving may come, in milliseconds.
+const LATE_ANSWER_MS: u64 = 10_000;
+
 /// Time after which a part or union that had no effect is sent again, in milliseconds.
 const RESEND_MS: u64 = 1_000;
 
@@ -251,7 +254,8 @@
         let key = inputs::target_key(target, conf.address);
         let id = (ServiceId::of(service), TargetId::of(&key));
         let epoch = self.told.state(id).map_or(0, |state| state.epoch);
-        if (epoch % 2 == 1) == leaving {
+        let is_known = (epoch % 2 == 1) == leaving;
+        if is_known || (!leaving && self.left_lately(id)) {
             return;
         }
         let state = TargetState { service: id.0, target: id.1, epoch: epoch + 1, gone: false };
@@ -260,6 +264,15 @@
         self.merge_states(vec![state]);
     }
 
+    /// Reports whether a target began to leave so lately that an answer from
+    /// before may still be under way.
+    fn left_lately(&self, key: inputs::StateKey) -> bool {
+        let service = self.by_id.get(&key.0).map(|index| &self.services[*index]);
+        let target = service.and_then(|service| service.targets.get(&service.router.find(key.1)?));
+        let since = target.and_then(|target| target.leaving_since);
+        since.is_none_or(|since| self.now.since(since) < LATE_ANSWER_MS)
+    }
+
     /// Merges targets' states; spreads what is news.
     pub(super) fn merge_states(&mut self, states: Vec<TargetState>) {
         let mut told = self.told.clone();
--- a/tests/flow_change.rs
+++ b/tests/flow_change.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
+use ragwortlb::node::Event;
 use rand::RngExt;
 use support::{Net, folder};
 
@@ -158,3 +159,23 @@
     }
     assert!(broken * 10_000 < opened, "{broken} of {opened} flows broken");
 }
+
+#[test]
+fn target_says_leaving() {
+    let (mut net, _) = start(7);
+    net.set_lag(1);
+    let event = |leaving| Event::TargetLeaving { service: "booking".into(), target: "m3".into(), leaving };
+    net.handle(0, event(true));
+    net.note_leaving(&BTreeSet::from([3]));
+    net.pass(100);
+    net.handle(1, event(false));
+    traffic(&mut net, 8_000);
+    assert_whole(&net);
+    assert!(net.notices.iter().all(|(_, _, what)| what != "target m3 is back"));
+    net.pass(4_000);
+    net.handle(1, event(false));
+    net.note_leaving(&BTreeSet::new());
+    traffic(&mut net, 8_000);
+    assert_whole(&net);
+    assert!(net.notices.iter().any(|(_, _, what)| what == "target m3 is back"));
+}
