Keep the cost of a tick and of news flat in peers and flows

Cause, seen in the first slopes: a node with 579 peers spent over a whole core, as each tick sorted the ring for each peer; adopting 5,400 targets computed each table several times; all flows were swept each second; news went round the ring. Ruled out: heartbeats themselves (0.023% of a core at 8 peers). Conclusion: what a change costs still grows with the fleet; docs/CAPACITY.md.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -1,6 +1,9 @@
 //! Prints the slopes from which docs/CAPACITY.md is worked out.
 
-use std::{net::SocketAddr, time::Instant};
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
 use ragwortlb::{
     config::{
@@ -8,21 +11,16 @@
         revision::{Bundle, Head, Manifest},
     },
     member::{Digest, Heartbeat, State},
-    node::{Action, Event, Node, Settings},
+    node::{Event, Node, Settings},
     route::{
         change::Progress,
         filter::Filter,
         flow::{self, Flows},
     },
     time::Time,
-    wire::{Flow, Frame, Message, RequestId, ServiceId},
+    wire::{Flow, Message, RequestId, ServiceId},
 };
-
-/// Simulated time over which a node runs with its peers, in milliseconds.
-const RUN_MS: u64 = 60_000;
-
-/// Time between ticks, in milliseconds.
-const TICK_MS: u64 = 5;
+use support::Net;
 
 fn main() {
     if std::env::args().any(|arg| arg == "--test") {
@@ -85,40 +83,40 @@
     Bundle::new(head, folder.clone()).expect("the digest is its own")
 }
 
-/// A node among peers that beat, without changes.
+/// Fleets without flows: quiet, and through one change of a target.
 fn control() {
-    println!("peers  control bytes/s  tick+frames, % of a core");
-    for peers in [8, 64, 256, 579] {
-        let mut node = Node::new(Settings { name: "own".into(), ..Settings::default() });
-        node.handle(Event::Accepted(bundle(&folder(10, 120))), Time(0));
-        let mut sent = 0;
-        let mut took = std::time::Duration::ZERO;
-        for now in (0..RUN_MS).step_by(TICK_MS as usize) {
-            let mut events = vec![Event::Tick];
-            if now % 500 == 0 {
-                let first = if now == 0 { 0 } else { peers - 8 };
-                for index in first..peers {
-                    let heartbeat = Heartbeat { digest: digest(index, now / 500 + 1), rumours: Vec::new() };
-                    let sender = format!("instance-{index}").into();
-                    let frame = Frame { sender, messages: vec![Message::Heartbeat(heartbeat)] };
-                    events.push(Event::Frame(frame));
-                }
-            }
-            let start = Instant::now();
-            for event in events {
-                for action in node.handle(event, Time(now)) {
-                    if let Action::Send { message, .. } = action {
-                        sent += message.bytes();
-                    }
-                }
-            }
-            took += start.elapsed();
-        }
-        let seconds = RUN_MS as f64 / 1_000.0;
-        println!("{peers:5}  {:15.0}  {:10.3}", sent as f64 / seconds, took.as_secs_f64() / seconds * 100.0);
+    const QUIET_MS: u64 = 20_000;
+    const CHANGE_MS: u64 = 10_000;
+    println!("instances  quiet bytes/s  change bytes  CPU quiet, % of a core  CPU of a change, ms");
+    for count in [9, 24, 48, 96] {
+        let all: BTreeSet<usize> = (0..12).collect();
+        let mut net = Net::new(1);
+        net.start_all(count.min(3), count / count.min(3), &support::folder(&all, &BTreeSet::new()));
+        net.pass(10_000);
+        let (quiet, quiet_cpu) = per_instance(&mut net, QUIET_MS, count);
+        net.accept(&support::folder(&all, &BTreeSet::from([1])));
+        let (change, change_cpu) = per_instance(&mut net, CHANGE_MS, count);
+        let quiet_s = QUIET_MS as f64 / 1_000.0;
+        println!(
+            "{count:9}  {:13.0}  {:12.0}  {:22.3}  {:19.2}",
+            quiet / quiet_s,
+            change - quiet / quiet_s * CHANGE_MS as f64 / 1_000.0,
+            quiet_cpu / quiet_s / 10.0,
+            change_cpu - quiet_cpu / quiet_s * CHANGE_MS as f64 / 1_000.0,
+        );
     }
 }
 
+/// Bytes and milliseconds of processor time of one instance while time passes.
+fn per_instance(net: &mut Net, millis: u64, count: usize) -> (f64, f64) {
+    let sent = |net: &Net| net.instances.iter().map(|instance| instance.sent_bytes).sum::<u64>();
+    let before = sent(net);
+    let start = Instant::now();
+    net.pass(millis);
+    let took = start.elapsed().as_secs_f64() * 1_000.0;
+    ((sent(net) - before) as f64 / count as f64, took / count as f64)
+}
+
 fn resident_bytes() -> f64 {
     const PAGE: f64 = 4_096.0;
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/src/admit/slots.rs
+++ b/src/admit/slots.rs
@@ -106,6 +106,11 @@
         self.shares.values().map(|share| share.used).sum()
     }
 
+    /// Reports whether no slot is lent.
+    pub fn is_idle(&self) -> bool {
+        self.loans.is_empty()
+    }
+
     /// Home slots.
     pub fn len(&self) -> usize {
         self.shares.values().map(|share| share.indices.len()).sum()
--- /dev/null
+++ b/src/member/roster.rs
@@ -0,0 +1,399 @@
+//! All instances that one knows.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use super::{
+    BEAT_SPREAD, Change, Digest, ESTABLISHED_MS, FANOUT, FORGET_MS, HEARTBEAT_MS, Heartbeat, MAX_RUMOURS,
+    OBSERVED, OBSERVERS, PAUSE_MS, RUMOUR_REPEATS, Rumour, SUSPECT_MS, State, Suspicion, ring::Ring,
+};
+use crate::{
+    route::{
+        change::{self, Progress},
+        keeper::Candidate,
+    },
+    time::Time,
+};
+
+/// Instance as others see it.
+#[derive(Clone, Debug)]
+struct Peer {
+    digest: Digest,
+    heard: Time,
+    serving_since: Option<Time>,
+    suspicions: BTreeSet<Arc<str>>,
+    lost: bool,
+}
+
+/// Rumour, and how often it is still to be told.
+#[derive(Clone, Debug)]
+struct Pending {
+    rumour: Rumour,
+    left: u32,
+}
+
+/// All instances that this one knows.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    own: Digest,
+    peers: BTreeMap<Arc<str>, Peer>,
+    greetings: BTreeSet<SocketAddr>,
+    pending: Vec<Pending>,
+    next_beat: Time,
+    last_tick: Option<Time>,
+    awaiting_word: bool,
+    own_serving_since: Option<Time>,
+    ring: Ring,
+    epoch: u64,
+}
+
+impl Roster {
+    /// Roster of one instance that will greet some addresses.
+    pub fn new(own: Digest, greetings: impl IntoIterator<Item = SocketAddr>) -> Roster {
+        let address = own.address;
+        Roster {
+            own,
+            peers: BTreeMap::new(),
+            greetings: greetings.into_iter().filter(|greeting| *greeting != address).collect(),
+            pending: Vec::new(),
+            next_beat: Time::default(),
+            last_tick: None,
+            awaiting_word: false,
+            own_serving_since: None,
+            ring: Ring::default(),
+            epoch: 0,
+        }
+    }
+
+    /// This instance's digest.
+    pub fn own(&self) -> &Digest {
+        &self.own
+    }
+
+    /// Sets what this instance says of itself.
+    pub fn set_own(&mut self, state: State, revision: u64, progress: Progress) {
+        self.epoch += u64::from(self.own.state != state);
+        self.own.state = state;
+        self.own.revision = revision;
+        self.own.progress = progress;
+    }
+
+    /// Counts the changes of who is there and in which state.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Adds addresses to greet, from the platform's list.
+    pub fn greet(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own.address;
+        self.greetings.extend(addresses.into_iter().filter(|address| *address != own));
+    }
+
+    /// Peers that are alive and have not said that they stopped.
+    pub fn live(&self) -> impl Iterator<Item = &Digest> {
+        let live = |peer: &&Peer| !peer.lost && peer.digest.state != State::Left;
+        self.peers.values().filter(live).map(|peer| &peer.digest)
+    }
+
+    /// Live peers that take part in changes.
+    pub fn serving(&self) -> impl Iterator<Item = &Digest> {
+        self.live().filter(|digest| matches!(digest.state, State::Serving | State::Leaving))
+    }
+
+    /// Progress of the peers that take part in changes.
+    pub fn progress(&self) -> Vec<change::Peer> {
+        let peer = |digest: &Digest| change::Peer { name: digest.name.clone(), progress: digest.progress };
+        self.serving().map(peer).collect()
+    }
+
+    /// Instances that can be keepers, this one included.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let candidate = |digest: &Digest| Candidate::new(digest.name.clone(), digest.zone.clone());
+        let own = Some(&self.own).filter(|own| own.state == State::Serving);
+        let serving = self.live().filter(|digest| digest.state == State::Serving);
+        let mut all: Vec<Candidate> = own.into_iter().chain(serving).map(candidate).collect();
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all
+    }
+
+    /// Candidates that have served long enough to have all that is handed to a new
+    /// one; all of them if fewer than two have.
+    pub fn established(&self, now: Time) -> Vec<Candidate> {
+        let is_old = |since: Option<Time>| since.is_some_and(|since| now.since(since) >= ESTABLISHED_MS);
+        let is_established = |candidate: &Candidate| match self.peers.get(&candidate.name) {
+            Some(peer) => is_old(peer.serving_since),
+            None => is_old(self.own_serving_since),
+        };
+        let all = self.candidates();
+        let old: Vec<Candidate> = all.iter().filter(|c| is_established(c)).cloned().collect();
+        if old.len() < 2 { all } else { old }
+    }
+
+    /// Names of the instances that take part in changes, this one included.
+    pub fn participants(&self) -> Vec<Arc<str>> {
+        let own = std::iter::once(self.own.name.clone());
+        let mut names: Vec<_> = own.chain(self.serving().map(|digest| digest.name.clone())).collect();
+        names.sort();
+        names
+    }
+
+    /// Address of a peer.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.digest.address)
+    }
+
+    /// Reports whether a peer is alive.
+    pub fn is_live(&self, name: &str) -> bool {
+        self.live().any(|digest| &*digest.name == name)
+    }
+
+    /// Reports whether this instance was paused and has not heard of a peer since.
+    pub fn awaits_word(&self) -> bool {
+        self.awaiting_word && self.live().next().is_some()
+    }
+
+    /// Takes a heartbeat.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now: Time) -> Vec<Change> {
+        self.awaiting_word = false;
+        let mut changes = Vec::new();
+        self.greetings.remove(&heartbeat.digest.address);
+        self.learn(heartbeat.digest, now, &mut changes);
+        for rumour in heartbeat.rumours {
+            match rumour {
+                Rumour::Digest(digest) => self.learn(digest, now, &mut changes),
+                Rumour::Suspicion(suspicion) => self.suspect(suspicion, &mut changes),
+            }
+        }
+        changes
+    }
+
+    /// Digests of this instance and its live peers.
+    pub fn digests(&self) -> Vec<Digest> {
+        std::iter::once(&self.own).chain(self.live()).cloned().collect()
+    }
+
+    /// Takes over another instance's view of the roster.
+    pub fn learn_all(&mut self, digests: Vec<Digest>, now: Time) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for digest in digests {
+            self.learn(digest, now, &mut changes);
+        }
+        changes
+    }
+
+    /// Looks for silent peers. Call it often.
+    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        let pause = self.last_tick.map_or(0, |last| now.since(last));
+        self.last_tick = Some(now);
+        if pause >= PAUSE_MS {
+            self.forgive(now);
+            self.own_serving_since = None;
+        }
+        if self.own.state != State::Serving {
+            self.own_serving_since = None;
+        } else {
+            self.own_serving_since.get_or_insert(now);
+        }
+        let mut changes = Vec::new();
+        for suspicion in self.silent(now) {
+            self.suspect(suspicion, &mut changes);
+        }
+        self.peers.retain(|_, peer| {
+            !(peer.lost || peer.digest.state == State::Left) || now.since(peer.heard) < FORGET_MS
+        });
+        changes
+    }
+
+    /// Heartbeats that are due, with their addresses.
+    pub fn beats(&mut self, now: Time) -> Vec<(SocketAddr, Heartbeat)> {
+        if now < self.next_beat {
+            return Vec::new();
+        }
+        self.next_beat = now + HEARTBEAT_MS;
+        self.beat_now()
+    }
+
+    /// Heartbeats to all neighbours at once, as when something changed.
+    pub fn beat_now(&mut self) -> Vec<(SocketAddr, Heartbeat)> {
+        self.own.beat += 1;
+        let heartbeat = Heartbeat { digest: self.own.clone(), rumours: self.rumours() };
+        let mut addresses: BTreeSet<SocketAddr> = self.neighbours().into_iter().collect();
+        addresses.extend(self.greetings.iter().take(FANOUT));
+        addresses.into_iter().map(|address| (address, heartbeat.clone())).collect()
+    }
+
+    fn learn(&mut self, digest: Digest, now: Time, changes: &mut Vec<Change>) {
+        if digest.name == self.own.name {
+            return;
+        }
+        let name = digest.name.clone();
+        let Some(peer) = self.peers.get_mut(&name) else {
+            let is_there = digest.state != State::Left;
+            let peer = Peer {
+                serving_since: (digest.state == State::Serving).then_some(now),
+                digest: digest.clone(),
+                heard: now,
+                suspicions: BTreeSet::new(),
+                lost: false,
+            };
+            self.peers.insert(name.clone(), peer);
+            self.turn_epoch();
+            if is_there {
+                changes.push(Change::Joined(name));
+            }
+            self.tell(Rumour::Digest(digest));
+            return;
+        };
+        if !digest.is_news_to(&peer.digest) {
+            return;
+        }
+        let was_there = !peer.lost && peer.digest.state != State::Left;
+        let restarted = digest.incarnation != peer.digest.incarnation;
+        let differs = digest.differs_from(&peer.digest) || peer.lost;
+        let serves_on = was_there && !restarted && peer.digest.state == State::Serving;
+        if digest.state != State::Serving {
+            peer.serving_since = None;
+        } else if !serves_on {
+            peer.serving_since = Some(now);
+        }
+        let moved = peer.lost || restarted || peer.digest.state != digest.state;
+        peer.digest = digest.clone();
+        peer.heard = now;
+        peer.suspicions.clear();
+        peer.lost = false;
+        if moved {
+            self.turn_epoch();
+        }
+        if was_there && restarted {
+            changes.push(Change::Lost(name.clone()));
+        }
+        match (was_there && !restarted, digest.state != State::Left) {
+            (false, true) => changes.push(Change::Joined(name)),
+            (true, false) => changes.push(Change::Left(name)),
+            _ => {}
+        }
+        if differs {
+            self.tell(Rumour::Digest(digest));
+        }
+    }
+
+    fn suspect(&mut self, suspicion: Suspicion, changes: &mut Vec<Change>) {
+        let observers = self.observers(&suspicion.subject);
+        let Some(peer) = self.peers.get_mut(&suspicion.subject) else {
+            return;
+        };
+        let latest = (suspicion.incarnation, suspicion.beat.saturating_add(BEAT_SPREAD));
+        let stale = latest < (peer.digest.incarnation, peer.digest.beat);
+        if peer.digest.state == State::Left {
+            let left = peer.digest.clone();
+            self.tell(Rumour::Digest(left));
+            return;
+        }
+        if stale || peer.lost || !peer.suspicions.insert(suspicion.observer.clone()) {
+            return;
+        }
+        if peer.suspicions.len() >= observers {
+            peer.lost = true;
+            changes.push(Change::Lost(suspicion.subject.clone()));
+            self.turn_epoch();
+        }
+        if suspicion.observer != self.own.name {
+            self.tell(Rumour::Suspicion(suspicion));
+        }
+    }
+
+    /// Observers that have to agree on a subject.
+    fn observers(&self, subject: &str) -> usize {
+        let unsuspected =
+            |peer: &&Peer| !peer.lost && peer.suspicions.is_empty() && peer.digest.state != State::Left;
+        let others = self.peers.values().filter(unsuspected).filter(|peer| &*peer.digest.name != subject);
+        (others.count() + 1).min(OBSERVERS)
+    }
+
+    fn silent(&self, now: Time) -> Vec<Suspicion> {
+        let silent = |peer: &&Peer| now.since(peer.heard) >= SUSPECT_MS;
+        let observed = self.ring.predecessors(self.observed()).filter_map(|name| self.peers.get(name));
+        observed.filter(silent).map(|peer| self.suspicion(peer)).collect()
+    }
+
+    /// Forgets old silence after a pause of this instance itself.
+    fn forgive(&mut self, now: Time) {
+        self.awaiting_word = true;
+        for peer in self.peers.values_mut() {
+            peer.heard = now;
+            peer.suspicions.remove(&self.own.name);
+        }
+    }
+
+    fn rumours(&mut self) -> Vec<Rumour> {
+        let mut rumours = self.own_suspicions();
+        let taken = self.pending.len().min(MAX_RUMOURS - rumours.len());
+        rumours.extend(self.pending[..taken].iter().map(|pending| pending.rumour.clone()));
+        for pending in &mut self.pending[..taken] {
+            pending.left -= 1;
+        }
+        self.pending.rotate_left(taken);
+        self.pending.retain(|pending| pending.left > 0);
+        rumours
+    }
+
+    fn own_suspicions(&self) -> Vec<Rumour> {
+        let own = |peer: &&Peer| peer.suspicions.contains(&self.own.name);
+        let suspected = self.peers.values().filter(own).take(MAX_RUMOURS / 2);
+        suspected.map(|peer| Rumour::Suspicion(self.suspicion(peer))).collect()
+    }
+
+    fn suspicion(&self, peer: &Peer) -> Suspicion {
+        Suspicion {
+            subject: peer.digest.name.clone(),
+            incarnation: peer.digest.incarnation,
+            beat: peer.digest.beat,
+            observer: self.own.name.clone(),
+        }
+    }
+
+    /// Spreads a rumour, unless every peer hears of it directly.
+    fn tell(&mut self, rumour: Rumour) {
+        if matches!(rumour, Rumour::Digest(_)) && self.live().count() < FANOUT {
+            return;
+        }
+        let replaced = |pending: &Pending| match (&pending.rumour, &rumour) {
+            (Rumour::Digest(old), Rumour::Digest(new)) => old.name == new.name,
+            (old, new) => old == new,
+        };
+        self.pending.retain(|pending| !replaced(pending));
+        self.pending.push(Pending { rumour, left: RUMOUR_REPEATS });
+    }
+
+    /// Number of peers whose heartbeats are expected, and that expect this instance's.
+    fn observed(&self) -> usize {
+        if self.ring.len() > FANOUT { OBSERVED } else { FANOUT }
+    }
+
+    /// Notes that somebody came, went or changed state.
+    fn turn_epoch(&mut self) {
+        self.epoch += 1;
+        let there = |peer: &&Peer| !peer.lost && peer.digest.state != State::Left;
+        let names = self.peers.values().filter(there).map(|peer| &peer.digest.name);
+        self.ring = Ring::new(&self.own.name, names);
+    }
+
+    /// Addresses of the neighbours that get heartbeats.
+    fn neighbours(&self) -> Vec<SocketAddr> {
+        let near = self.ring.successors(self.observed());
+        let far = self.ring.scattered(FANOUT - OBSERVED, self.own.beat);
+        let far = far.filter(|_| self.ring.len() > FANOUT);
+        let live = near.chain(far).filter_map(|name| self.address(name));
+        live.chain(self.lost_neighbour()).collect()
+    }
+
+    /// A lost peer that is greeted in case it is back, each in turn.
+    fn lost_neighbour(&self) -> Option<SocketAddr> {
+        let lost: Vec<&Peer> = self.peers.values().filter(|peer| peer.lost).collect();
+        let turn = self.own.beat as usize % lost.len().max(1);
+        lost.get(turn).map(|peer| peer.digest.address)
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -90,17 +90,22 @@
 /// Time between runs of the slow systems, in milliseconds.
 const SLOW_MS: u64 = 1_000;
 
+/// Time between sweeps over all flows, in milliseconds.
+const SWEEP_MS: u64 = 60_000;
+
 /// One instance.
 pub struct Node {
     settings: Settings,
     now: Time,
     started: Option<Time>,
     next_slow: Time,
+    next_sweep: Time,
     rng: Pcg64Mcg,
     out: Vec<Action>,
 
     roster: Roster,
     candidates: Vec<Candidate>,
+    seen_epoch: u64,
     older_candidates: Vec<(Time, Vec<Candidate>)>,
     lineage: Lineage,
     bundle: Option<Bundle>,
@@ -150,10 +155,12 @@
             now: Time::default(),
             started: None,
             next_slow: Time::default(),
+            next_sweep: Time::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             out: Vec::new(),
             roster: Roster::new(own, settings.peers.iter().copied()),
             candidates: Vec::new(),
+            seen_epoch: 0,
             older_candidates: Vec::new(),
             lineage: Lineage::default(),
             bundle: None,
@@ -243,6 +250,10 @@
             self.next_slow = self.now + SLOW_MS;
             self.expire_state();
         }
+        if self.now >= self.next_sweep {
+            self.next_sweep = self.now + SWEEP_MS;
+            self.sweep_flows();
+        }
     }
 
     fn take_frame(&mut self, frame: Frame) {
--- a/src/node/admitting.rs
+++ b/src/node/admitting.rs
@@ -33,6 +33,10 @@
     /// Runs admission of all services.
     pub(super) fn admit_all(&mut self) {
         for index in 0..self.services.len() {
+            let service = &self.services[index];
+            if service.queue.is_empty() && service.slots.is_idle() {
+                continue;
+            }
             self.expire_queue(index);
             self.expire_loans(index);
             self.admit(index);
--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -59,7 +59,8 @@
 
     /// Takes the steps that are due.
     pub(super) fn change(&mut self) {
-        if !self.takes_part() {
+        let is_quiet = self.tracker.is_settled() && self.lagging.is_empty() && self.unended.is_none();
+        if is_quiet || !self.takes_part() {
             return;
         }
         self.forget_lagging();
@@ -365,17 +366,25 @@
 
     /// Adds filters of old flows that came from others.
     pub(super) fn add_old(&mut self, old: &[Old]) {
+        for (index, old) in self.known_old(old) {
+            self.services[index].router.add_filter(old);
+        }
+    }
+
+    /// Old flows of services that are known here, by index of the service.
+    pub(super) fn known_old(&mut self, old: &[Old]) -> Vec<(usize, OldFlows)> {
         let now = self.now;
+        let mut known = Vec::new();
         for Old { service, target, slots, filter } in old {
             let Some(index) = self.by_id.get(service).copied() else {
                 continue;
             };
-            if let Some(number) = self.services[index].old_target(target, now) {
+            if let Some(target) = self.services[index].old_target(target, now) {
                 let (slots, filter) = (slots.clone(), filter.clone());
-                let router = &mut self.services[index].router;
-                router.add_filter(OldFlows { target: number, slots, filter, built: now });
+                known.push((index, OldFlows { target, slots, filter, built: now }));
             }
         }
+        known
     }
 
     /// Opens a change again for a peer that has an older version in force.
--- a/src/node/meeting.rs
+++ b/src/node/meeting.rs
@@ -10,7 +10,7 @@
 use crate::{
     hash,
     member::{Change, Digest, Heartbeat, State},
-    route::{router::OldFlows, table::Member},
+    route::table::Member,
     wire::{Base, Message, Old, Snapshot},
 };
 
@@ -128,6 +128,10 @@
 
     /// Hands over what new keepers and homes need.
     fn update_candidates(&mut self) {
+        if self.seen_epoch == self.roster.epoch() {
+            return;
+        }
+        self.seen_epoch = self.roster.epoch();
         let candidates = self.roster.candidates();
         if candidates == self.candidates {
             return;
@@ -186,15 +190,8 @@
 
     /// Takes over the flows of an instance that leaves.
     pub(super) fn inherit(&mut self, sender: &Arc<str>, old: &[Old]) {
-        let now = self.now;
-        for Old { service, target, slots, filter } in old {
-            let Some(index) = self.by_id.get(service).copied() else {
-                continue;
-            };
-            if let Some(number) = self.services[index].old_target(target, now) {
-                let (slots, filter) = (slots.clone(), filter.clone());
-                self.services[index].router.inherit(OldFlows { target: number, slots, filter, built: now });
-            }
+        for (index, old) in self.known_old(old) {
+            self.services[index].router.inherit(old);
         }
         self.send(sender, Message::Inherited);
     }
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -369,13 +369,20 @@
         Some(&mut self.services[index].router)
     }
 
-    /// Drops state that has been idle too long, and targets past their drain limit.
+    /// Drops flows, exceptions and filters that have been idle too long.
+    pub(super) fn sweep_flows(&mut self) {
+        let now = self.now;
+        for service in &mut self.services {
+            service.router.expire(now, service.conf.idle_s);
+        }
+    }
+
+    /// Drops records that are old, and targets past their drain limit.
     pub(super) fn expire_state(&mut self) {
         let now = self.now;
         let mut notices = Vec::new();
         for service in &mut self.services {
             let limit_ms = service.conf.drain_limit_s * 1_000;
-            service.router.expire(now, service.conf.idle_s);
             for (number, target) in &service.targets {
                 let drained = target.leaving_since.is_some_and(|since| now.since(since) >= limit_ms);
                 if drained && !service.router.is_gone(*number) {
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -218,6 +218,11 @@
 
     /// Ends a request that its caller gave up.
     pub(super) fn cancel(&mut self, ticket: Ticket) {
+        self.give_up(ticket, "its caller gave it up");
+    }
+
+    /// Takes a request out of the queue or off its target, and ends it.
+    fn give_up(&mut self, ticket: Ticket, why: &str) {
         let Some(work) = self.work(ticket) else {
             return;
         };
@@ -231,9 +236,9 @@
             Stage::Waiting => {
                 self.services[index].queue.remove(&Waiter::Request(ticket));
             }
-            _ => {}
+            Stage::Claiming | Stage::Joined | Stage::Routing | Stage::Pausing(_) => {}
         }
-        self.end_not_run(ticket, "its caller gave it up");
+        self.end_not_run(ticket, why);
         self.admit(index);
     }
 
@@ -266,22 +271,12 @@
         let Some(work) = self.work(ticket) else {
             return;
         };
-        let (index, runs) = (work.service, work.runs);
-        match work.stage.clone() {
-            Stage::Running(run) => {
-                work.may_have_run = true;
-                self.out.push(Action::Abort { ticket, run: runs });
-                self.services[index].health.note(run.target, Sign::Silent, self.now);
-                self.give_back(index, run.target, run.slot);
-            }
-            Stage::Waiting => {
-                self.services[index].queue.remove(&Waiter::Request(ticket));
-            }
-            Stage::Joined => work.may_have_run = true,
-            Stage::Claiming | Stage::Routing | Stage::Pausing(_) => {}
+        if let Stage::Running(run) = &work.stage {
+            let (index, target) = (work.service, run.target);
+            let now = self.now;
+            self.services[index].health.note(target, Sign::Silent, now);
         }
-        self.end_not_run(ticket, "its deadline passed");
-        self.admit(index);
+        self.give_up(ticket, "its deadline passed");
     }
 
     /// Request of a ticket.
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -135,24 +135,30 @@
 
     /// Decides for the first packet of a flow.
     pub fn open(&mut self, flow: u64, now: Time) -> Decision {
-        if let Some(target) = self.held(flow, now) {
-            return Decision::Target(target);
-        }
-        let slot = Table::slot(flow);
-        let target = self.current.get(slot);
-        if target == NONE {
-            return Decision::Nowhere;
-        }
-        if self.registered.contains(slot) || self.old_target(flow, target).is_some() {
-            return Decision::Register(target);
-        }
-        self.hold(flow, target, now);
-        Decision::Target(target)
+        self.decide(flow, now, |router, slot, target| {
+            let is_exception = router.registered.contains(slot) || router.old_target(flow, target).is_some();
+            is_exception.then_some(Decision::Register(target))
+        })
     }
 
     /// Decides for a later packet of a flow.
     pub fn follow(&mut self, flow: u64, now: Time) -> Decision {
-        if let Some(target) = self.held(flow, now) {
+        self.decide(flow, now, |router, slot, target| {
+            if let Some(old) = router.old_target(flow, target) {
+                return Some(Decision::Ask(old));
+            }
+            router.is_unsettled(slot).then(|| Decision::Ask(router.fallback(flow, slot)))
+        })
+    }
+
+    /// Decides by what is held, by what is in doubt, and by the table.
+    fn decide(
+        &mut self,
+        flow: u64,
+        now: Time,
+        doubt: impl FnOnce(&Router, usize, u16) -> Option<Decision>,
+    ) -> Decision {
+        if let Some(target) = self.flows.touch(flow, now) {
             return Decision::Target(target);
         }
         let slot = Table::slot(flow);
@@ -160,11 +166,8 @@
         if target == NONE {
             return Decision::Nowhere;
         }
-        if let Some(old) = self.old_target(flow, target) {
-            return Decision::Ask(old);
-        }
-        if self.is_unsettled(slot) {
-            return Decision::Ask(self.fallback(flow, slot));
+        if let Some(decision) = doubt(self, slot, target) {
+            return decision;
         }
         self.hold(flow, target, now);
         Decision::Target(target)
@@ -456,10 +459,6 @@
         self.not_held
     }
 
-    fn held(&mut self, flow: u64, now: Time) -> Option<u16> {
-        self.flows.touch(flow, now)
-    }
-
     fn is_unsettled(&self, slot: usize) -> bool {
         self.unsettled.contains(slot)
     }
@@ -483,7 +482,12 @@
         self.filters.iter().any(|old| old.target == target && old.claims(flow))
     }
 
+    /// Table of some members; one that is held already is not computed again.
     fn slots(&mut self, members: &[Member]) -> Slots {
+        let held = [Some(&self.current), Some(&self.base), self.next.as_ref()];
+        if let Some(same) = held.into_iter().flatten().find(|held| held.members == members) {
+            return same.clone();
+        }
         let table = Table::new(members);
         let numbers: Vec<u16> = table.names().iter().map(|name| self.number(name)).collect();
         if numbers.is_empty() {
