--- a/tests/support/targets.rs
+++ b/tests/support/targets.rs
@@ -17,7 +17,7 @@
 const SLOTS: usize = 3;
 
 /// Time between steps, in milliseconds.
-pub const STEP_MS: u64 = 5;
+pub const STEP_MS: u64 = 1;
 
 /// Request of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
