Make a run a function of its events in every table

Cause: some tables were maps in random order, so messages could leave in another order in each process, against what the library says of itself.

--- a/src/admit/health.rs
+++ b/src/admit/health.rs
@@ -7,7 +7,7 @@
 beyond that the signal is distrusted.
 */
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::time::Time;
 
@@ -45,7 +45,7 @@
 /// Targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    records: HashMap<u16, Record>,
+    records: BTreeMap<u16, Record>,
 }
 
 impl Health {
--- a/src/admit/slots.rs
+++ b/src/admit/slots.rs
@@ -1,6 +1,6 @@
 //! Counts the slots of one service of which this instance is the home.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use super::homes::Unit;
 use crate::time::Time;
@@ -24,8 +24,8 @@
 /// Home slots of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Slots {
-    shares: HashMap<u16, Share>,
-    loans: HashMap<(Arc<str>, u32), Loan>,
+    shares: BTreeMap<u16, Share>,
+    loans: BTreeMap<(Arc<str>, u32), Loan>,
     turn: u64,
 }
 
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -1,6 +1,10 @@
 //! Table of services: routing, slots and queue of each.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use super::{inputs, settings::Settings, status::ServiceStatus};
 use crate::{
@@ -32,7 +36,7 @@
     pub(super) id: ServiceId,
     pub(super) conf: config::Service,
     pub(super) router: Router,
-    pub(super) targets: HashMap<u16, Target>,
+    pub(super) targets: BTreeMap<u16, Target>,
     pub(super) slots: Slots,
     pub(super) homes: Vec<Arc<str>>,
     pub(super) homes_by_target: HashMap<u16, Vec<Arc<str>>>,
@@ -49,7 +53,7 @@
             id: ServiceId::of(name),
             conf: conf.clone(),
             router: Router::new(settings.max_flows, conf.idle_s),
-            targets: HashMap::new(),
+            targets: BTreeMap::new(),
             slots: Slots::default(),
             homes: Vec::new(),
             homes_by_target: HashMap::new(),
--- a/src/retry/record.rs
+++ b/src/retry/record.rs
@@ -8,7 +8,7 @@
 */
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
 };
 
@@ -58,7 +58,7 @@
 /// Records of one keeper.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
-    records: HashMap<RequestId, Record>,
+    records: BTreeMap<RequestId, Record>,
     order: VecDeque<(Time, RequestId)>,
 }
 
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -8,7 +8,10 @@
 guess the answer is [`Decision::Ask`].
 */
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use super::{
     filter::{Filter, SlotSet},
@@ -277,7 +280,7 @@
 
     /// All flows by target: those held, and those inherited.
     pub fn heritage(&self, now: Time) -> Vec<OldFlows> {
-        let mut by_target: HashMap<u16, Vec<u64>> = HashMap::new();
+        let mut by_target: BTreeMap<u16, Vec<u64>> = BTreeMap::new();
         for (flow, target) in self.flows.iter() {
             let is_computed = self.current.get(Table::slot(flow)) == target;
             if is_computed || !self.is_covered(flow, target) {
@@ -317,7 +320,7 @@
     /// Flows held on other targets than the computed one, by target, that no
     /// filter covers yet.
     pub fn old_flows(&self) -> Vec<(u16, Vec<u64>)> {
-        let mut by_target: HashMap<u16, Vec<u64>> = HashMap::new();
+        let mut by_target: BTreeMap<u16, Vec<u64>> = BTreeMap::new();
         for (flow, target) in self.flows.iter() {
             if self.current.get(Table::slot(flow)) == target || self.is_gone(target) {
                 continue;
@@ -326,9 +329,7 @@
                 by_target.entry(target).or_default().push(flow);
             }
         }
-        let mut old: Vec<_> = by_target.into_iter().collect();
-        old.sort_by_key(|(target, _)| *target);
-        old
+        by_target.into_iter().collect()
     }
 
     /// Flows held here that a new filter claims and any filter claims for another
--- a/tests/request_flood.rs
+++ b/tests/request_flood.rs
@@ -56,7 +56,12 @@
     fn check(&self) {
         let capacity = TARGETS as u64 * SLOTS * FLOOD_MS / MEAN_COST_MS;
         let done = self.targets.with(&self.net, |outcome| matches!(outcome, Outcome::Done(_))) as u64;
-        assert!(done * 100 >= capacity * 95, "{done} done of {capacity} that fit, shed {}, runs {}", self.targets.shed, self.targets.runs);
+        assert!(
+            done * 100 >= capacity * 95,
+            "{done} done of {capacity} that fit, shed {}, runs {}",
+            self.targets.shed,
+            self.targets.runs
+        );
         assert_eq!(self.net.outcomes.len() as u64, self.asked);
         let amplified = self.targets.runs + self.targets.shed;
         assert!(amplified * 10 <= self.asked * 11);
