Take no former target from peers whose address another service has

Cause: a joining instance takes filters of old flows with the names of targets that are no longer configured, address included, and did not look who has that address now. Ruled out: instances that were there at the change; they drop such targets. Test foreign_target: 10.2.1.1:9000 before, 10.2.0.1:9000 after.

--- a/src/node.rs
+++ b/src/node.rs
@@ -232,6 +232,11 @@
         self.lineage.revision()
     }
 
+    /// Version of the inputs of tables that is known.
+    pub fn version(&self) -> Version {
+        self.told.version()
+    }
+
     /// Name of the service at an address.
     pub fn service_name(&self, address: SocketAddr) -> Option<Arc<str>> {
         self.by_address.get(&address).map(|index| self.services[*index].name.clone())
--- a/src/node/changing.rs
+++ b/src/node/changing.rs
@@ -380,6 +380,9 @@
             let Some(index) = self.by_id.get(service).copied() else {
                 continue;
             };
+            if self.is_foreign(index, target) {
+                continue;
+            }
             if let Some(target) = self.services[index].old_target(target, now) {
                 let (slots, filter) = (slots.clone(), filter.clone());
                 known.push((index, OldFlows { target, slots, filter, built: now }));
@@ -388,6 +391,15 @@
         known
     }
 
+    /// Reports whether the address in a target's name belongs to another service.
+    pub(super) fn is_foreign(&self, index: usize, key: &str) -> bool {
+        let own = &self.services[index].name;
+        let others = self.inputs.config().services.iter().filter(|(name, _)| *name != own);
+        let mut addresses = others.flat_map(|(_, conf)| conf.targets.values().map(|target| target.address));
+        let address = inputs::key_address(key);
+        addresses.any(|other| Some(other) == address)
+    }
+
     /// Opens a change again for a peer that has an older version in force.
     pub(super) fn watch_lagging(&mut self, peer: &Arc<str>) {
         let progress = self.roster.live().find(|digest| digest.name == *peer).map(|digest| digest.progress);
--- a/src/node/meeting.rs
+++ b/src/node/meeting.rs
@@ -318,8 +318,9 @@
             let Some(index) = self.by_id.get(&base.service).copied() else {
                 continue;
             };
-            let members = base.members.iter().map(|(name, weight)| Member::new(name.clone(), *weight));
-            let members: Vec<Member> = members.collect();
+            let known = base.members.iter().filter(|(name, _)| !self.is_foreign(index, name));
+            let members: Vec<Member> =
+                known.map(|(name, weight)| Member::new(name.clone(), *weight)).collect();
             let now = self.now;
             for member in &members {
                 self.services[index].old_target(&member.name, now);
