--- a/src/route.rs
+++ b/src/route.rs
@@ -29,5 +29,6 @@
 pub mod filter;
 pub mod flow;
 pub mod keeper;
+mod numbered;
 pub mod router;
 pub mod table;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -16,13 +16,11 @@
 use super::{
     filter::{Filter, SlotSet},
     flow::{Flows, KeyMap},
+    numbered::{NONE, Slots},
     table::{Member, SLOTS, Table},
 };
 use crate::{hash, time::Time};
 
-/// No target.
-const NONE: u16 = u16::MAX;
-
 /// Identity of a target between instances: hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -68,30 +66,12 @@
     at: Time,
 }
 
-/// Table with targets by their numbers in the router.
-#[derive(Clone, Debug, Default, PartialEq)]
-struct Slots {
-    members: Vec<Member>,
-    numbers: Vec<u16>,
-}
-
 impl OldFlows {
     fn claims(&self, flow: u64) -> bool {
         self.slots.contains(Table::slot(flow)) && self.filter.contains(flow)
     }
 }
 
-impl Slots {
-    fn get(&self, slot: usize) -> u16 {
-        self.numbers.get(slot).copied().unwrap_or(NONE)
-    }
-
-    /// Slots that have another target in the other table.
-    fn differing(&self, other: &Slots) -> SlotSet {
-        SlotSet::from_slots((0..SLOTS).filter(|slot| self.get(*slot) != other.get(*slot)))
-    }
-}
-
 /// Routing state of one service.
 #[derive(Clone, Debug)]
 pub struct Router {
