--- a/crates/ragwortlbd/src/lib.rs
+++ b/crates/ragwortlbd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plane;
 pub mod program;
 pub mod reader;
+pub mod relay;
 pub mod runner;
 pub mod settings;
 pub mod spans;
--- a/crates/ragwortlbd/src/program.rs
+++ b/crates/ragwortlbd/src/program.rs
@@ -8,7 +8,7 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::{daemon::Daemon, operators, settings::Settings, spans};
+use crate::{daemon::Daemon, operators, relay, settings::Settings, spans};
 
 /// Exit code for bad settings.
 const REFUSED: u8 = 1;
@@ -22,6 +22,8 @@
     check_settings: bool,
     /// Print the OpenAPI document of the operators' HTTP and exit
     openapi: bool,
+    /// Serve packets on the operators' platform, by the settings file it names
+    platform: bool,
     /// Settings, a file of JSON with comments
     #[bpaf(positional("SETTINGS"), optional)]
     settings: Option<PathBuf>,
@@ -30,7 +32,7 @@
 impl Options {
     /// Options to serve with some settings.
     pub fn serve(settings: PathBuf) -> Options {
-        Options { check_settings: false, openapi: false, settings: Some(settings) }
+        Options { check_settings: false, openapi: false, platform: false, settings: Some(settings) }
     }
 }
 
@@ -51,6 +53,9 @@
         print!("{}", operators::openapi()?);
         return Ok(());
     }
+    if options.platform {
+        return relay::main();
+    }
     let path = options.settings.ok_or_else(|| eyre!("no settings file given; see --help"))?;
     let settings = read_settings(&path)?;
     if options.check_settings {
--- /dev/null
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -0,0 +1,211 @@
+//! Follows the platform's store: as a reader for others, or when nobody reads.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use eyre::Result;
+use ragwortlb::{
+    relay::{
+        catalog::{self, Row, State},
+        news,
+    },
+    time::Time,
+};
+use ragwortlb_platform::store::{Client, Event, Reading, Revised, Watched};
+
+use super::{
+    news::spread,
+    shared::{Shared, add, now},
+};
+
+/// Time between calls of a reader: targets' reports wake a watch many times a
+/// second, and each call has its price.
+const READ_GAP_MS: u64 = 700;
+
+/// Longest wait of a watch.
+const WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time without news of the store after which an instance reads for itself, in
+/// milliseconds: two calls of a reader, and a margin.
+const STALE_MS: u64 = 1_700;
+
+/// Time after which to look again whether to read.
+const IDLE: Duration = Duration::from_millis(50);
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 150;
+
+/// What a follower knows of the store itself.
+#[derive(Debug, Default)]
+struct Follower {
+    failed: Option<Time>,
+    returned: Time,
+    is_complete: bool,
+    advanced: Time,
+    revision: u64,
+}
+
+impl Follower {
+    /// Whether an entry that is absent may have lapsed while the store was away.
+    fn is_in_trouble(&self, now: Time) -> bool {
+        self.failed.is_some() || (self.returned > Time(0) && now.since(self.returned) < catalog::RETURN_MS)
+    }
+
+    fn note_failure(&mut self, now: Time, error: &eyre::Report) {
+        if self.failed.is_none() {
+            log::warn!("E740 the store is lost: {error:#}");
+        }
+        self.failed = Some(now);
+    }
+
+    fn note_success(&mut self, now: Time) {
+        if let Some(failed) = self.failed.take() {
+            log::info!("E741 the store is back, {} ms after the last failure", now.since(failed));
+            self.returned = now;
+        }
+    }
+}
+
+/// Follows the store until the process ends.
+pub(super) async fn run(shared: Rc<Shared>) {
+    let mut client = Client::new(shared.settings.store_address);
+    let mut follower = Follower::default();
+    loop {
+        let started = now();
+        if !is_due(&shared, &mut follower, started) {
+            tokio::time::sleep(IDLE).await;
+            continue;
+        }
+        add(&shared.counts.store_calls);
+        let result = step(&shared, &mut client, &mut follower).await;
+        let ended = now();
+        let gap_ms = match result {
+            Ok(()) => {
+                follower.note_success(ended);
+                READ_GAP_MS.saturating_sub(ended.since(started))
+            }
+            Err(error) => {
+                add(&shared.counts.store_failures);
+                follower.note_failure(ended, &error);
+                RETRY_MS
+            }
+        };
+        end_missing(&shared, &follower, ended);
+        tokio::time::sleep(Duration::from_millis(gap_ms)).await;
+    }
+}
+
+fn is_due(shared: &Shared, follower: &mut Follower, now: Time) -> bool {
+    let path = shared.path.borrow();
+    let revision = path.catalog().revision();
+    if revision > follower.revision {
+        follower.revision = revision;
+        follower.advanced = now;
+    }
+    !follower.is_complete
+        || path.paused_for(now).is_some()
+        || path.is_reader(now)
+        || now.since(follower.advanced) >= STALE_MS
+}
+
+async fn step(shared: &Shared, client: &mut Client, follower: &mut Follower) -> Result<()> {
+    let revision = shared.path.borrow().catalog().revision();
+    if !follower.is_complete {
+        let reading = client.read().await?;
+        take_all(shared, follower, reading);
+        follower.is_complete = true;
+        return Ok(());
+    }
+    match client.watch(revision, WAIT).await? {
+        Watched::Reading(reading) => take(shared, follower, reading),
+        Watched::Compacted => {
+            log::info!("E742 the store has dropped its history; reading everything");
+            follower.is_complete = false;
+        }
+    }
+    Ok(())
+}
+
+/// Takes a whole reading; targets that it does not have are missing or gone.
+fn take_all(shared: &Shared, follower: &Follower, reading: Reading) {
+    let now = now();
+    let present: Vec<Arc<str>> = reading
+        .events
+        .iter()
+        .filter_map(|revised| match &revised.event {
+            Event::Target(entry) => Some(entry.name.clone()),
+            _ => None,
+        })
+        .collect();
+    let absent =
+        shared.path.borrow().catalog().absent(&present, reading.revision, follower.is_in_trouble(now));
+    take_with(shared, follower, reading, absent);
+}
+
+fn take(shared: &Shared, follower: &Follower, reading: Reading) {
+    take_with(shared, follower, reading, Vec::new());
+}
+
+fn take_with(shared: &Shared, follower: &Follower, reading: Reading, mut rows: Vec<Row>) {
+    let now = now();
+    let in_trouble = follower.is_in_trouble(now);
+    let after = shared.path.borrow().catalog().revision();
+    for revised in reading.events {
+        rows.extend(row(shared, revised, in_trouble, now));
+    }
+    let mut path = shared.path.borrow_mut();
+    rows.retain(|row| path.apply(row.clone(), now));
+    path.advance(reading.revision);
+    path.confirm();
+    let is_reader = path.is_reader(now);
+    drop(path);
+    shared.learned.notify_one();
+    if is_reader && after > 0 {
+        spread(shared, news::split(after, reading.revision, rows));
+    }
+}
+
+/// Row of a target's event; other events are taken at once.
+fn row(shared: &Shared, revised: Revised, in_trouble: bool, now: Time) -> Option<Row> {
+    let revision = revised.revision;
+    let mut path = shared.path.borrow_mut();
+    match revised.event {
+        Event::Target(entry) => {
+            let state = if entry.leaving { State::Leaving } else { State::Ready };
+            return Some(Row { entry, state, revision });
+        }
+        Event::TargetEnded(name) => return path.catalog().ending(&name, revision, in_trouble),
+        Event::Unreadable { key, target, reason } => {
+            log::warn!("E743 the value of {key} at revision {revision} is not used: {reason}");
+            return path.catalog().ending(&target?, revision, false);
+        }
+        Event::Plan(plan) => {
+            let (version, routes) = (plan.version, plan.routes.len());
+            if path.adopt(plan) {
+                log::info!("E744 plan {version} with {routes} routes is in force");
+            }
+        }
+        Event::Instance { name, zone, ip } if name != shared.settings.name => {
+            path.peers_mut().meet(&name, &zone, shared.news_address(ip), now);
+        }
+        Event::Instance { .. } | Event::Other => {}
+    }
+    None
+}
+
+/// Ends targets that did not come back after the store did.
+fn end_missing(shared: &Shared, follower: &Follower, now: Time) {
+    if follower.failed.is_some() {
+        return;
+    }
+    let mut path = shared.path.borrow_mut();
+    let rows = path.catalog().lapsed(follower.returned, now);
+    if rows.is_empty() {
+        return;
+    }
+    for row in &rows {
+        path.apply(row.clone(), now);
+    }
+    let revision = path.catalog().revision();
+    drop(path);
+    spread(shared, news::split(revision, revision, rows));
+}
--- /dev/null
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -0,0 +1,124 @@
+//! News between instances: reports many times a second, rows as they are learned.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::Duration,
+};
+
+use ragwortlb::{
+    relay::news::{self, Frame, News, Rows},
+    time::Time,
+};
+
+use super::shared::{Shared, add, now};
+
+/// Time between reports.
+const REPORT: Duration = Duration::from_millis(20);
+
+/// Time between reports to a peer that is silent, in milliseconds.
+const KNOCK_MS: u64 = 500;
+
+/// Time after a pause in which a report may have been sent before it, in milliseconds.
+const STALE_MS: u64 = 60;
+
+/// Reads news until the process ends.
+pub(super) async fn receive(shared: Rc<Shared>) {
+    let mut buffer = vec![0; news::MAX_FRAME_BYTES + 1];
+    loop {
+        match shared.news.recv_from(&mut buffer).await {
+            Ok((length, SocketAddr::V4(from))) => take(&shared, &buffer[..length], from),
+            Ok(_) => add(&shared.counts.news_refused),
+            Err(error) => {
+                log::warn!("E730 news cannot be read: {error}");
+                tokio::time::sleep(REPORT).await;
+            }
+        }
+    }
+}
+
+fn take(shared: &Shared, bytes: &[u8], from: SocketAddrV4) {
+    let frame = match Frame::from_bytes(bytes) {
+        Ok(frame) => frame,
+        Err(error) => {
+            add(&shared.counts.news_refused);
+            log::debug!("{error}");
+            return;
+        }
+    };
+    let now = now();
+    let mut path = shared.path.borrow_mut();
+    if path.peers_mut().hear(&frame.sender, &frame.zone, from, now) {
+        log::info!("E731 peer {} in {} is there", frame.sender, frame.zone);
+    }
+    match frame.news {
+        News::Report(report) => {
+            path.hear(&frame.sender, &report, now);
+            if path.paused_for(now).is_some_and(|since| since >= STALE_MS) {
+                path.confirm();
+            }
+        }
+        News::Rows(rows) => {
+            let before = path.catalog().revision();
+            path.take_rows(rows, now);
+            if path.catalog().revision() > before {
+                shared.learned.notify_one();
+            }
+        }
+    }
+}
+
+/// Sends reports until the process ends.
+pub(super) async fn send(shared: Rc<Shared>) {
+    let mut interval = tokio::time::interval(REPORT);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut knocked = Time(0);
+    loop {
+        interval.tick().await;
+        let now = now();
+        let knocks = now.since(knocked) >= KNOCK_MS;
+        if knocks {
+            knocked = now;
+        }
+        report(&shared, now, knocks);
+    }
+}
+
+fn report(shared: &Shared, now: Time, knocks: bool) {
+    let path = shared.path.borrow();
+    let bytes = frame(shared, News::Report(path.report()));
+    if knocks {
+        let live: Vec<_> = path.peers().live(now).map(|row| row.address).collect();
+        let silent = path.peers().rows().map(|row| row.address).filter(|address| !live.contains(address));
+        for address in silent {
+            post(shared, &bytes, address);
+        }
+    }
+    for row in path.peers().live(now) {
+        post(shared, &bytes, row.address);
+    }
+}
+
+/// Sends rows to all peers that are there.
+pub(super) fn spread(shared: &Shared, parts: Vec<Rows>) {
+    let path = shared.path.borrow();
+    for rows in parts {
+        let bytes = frame(shared, News::Rows(rows));
+        for row in path.peers().live(now()) {
+            post(shared, &bytes, row.address);
+        }
+    }
+}
+
+fn frame(shared: &Shared, news: News) -> Vec<u8> {
+    let (sender, zone) = (shared.settings.name.clone(), shared.settings.zone.clone());
+    Frame { sender, zone, news }.to_bytes()
+}
+
+fn post(shared: &Shared, bytes: &[u8], to: SocketAddrV4) {
+    // The next report follows soon, and rows that are missing are fetched.
+    match shared.news.try_send_to(bytes, to.into()) {
+        Ok(_) => add(&shared.counts.news_sent),
+        Err(_) => add(&shared.counts.unsent),
+    }
+}
--- /dev/null
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -0,0 +1,166 @@
+//! Moves packets between the fabric, targets and clients.
+
+use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, time::Duration};
+
+use ragwortlb::{
+    relay::{
+        Kind, Packet,
+        path::{Unknown, Verdict},
+    },
+    time::Time,
+};
+use ragwortlb_platform::packet;
+
+use super::shared::{Shared, add, now};
+
+/// Packets that are read before other tasks run.
+const BATCH: usize = 32;
+
+/// Time between ticks of the path.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Most packets that wait to be judged: what arrives within a client's first wait.
+const MAX_PARKED: usize = 2_048;
+
+/// Longest wait of a packet to be judged, in milliseconds.
+const fn patience_ms(unknown: Unknown) -> u64 {
+    match unknown {
+        // A client goes on for 1.4 s, and the plan arrives soon after the start.
+        Unknown::Plan => 1_200,
+        // As long as a reader of the store may lag behind it.
+        Unknown::Route | Unknown::Token => 800,
+        Unknown::Targets => 100,
+        // Whoever still waits sends a copy after 200 ms.
+        Unknown::Pause => 0,
+    }
+}
+
+/// Packet that waits to be judged.
+struct Parked {
+    packet: Packet,
+    bytes: Vec<u8>,
+    until: Time,
+}
+
+/// Reads and judges packets until the process ends.
+pub(super) async fn run(shared: Rc<Shared>) {
+    let parked = Rc::new(RefCell::new(Vec::new()));
+    tokio::task::spawn_local(tick(shared.clone(), parked.clone()));
+    let mut buffer = vec![0; packet::MAX_BYTES];
+    let mut out = Vec::with_capacity(packet::MAX_BYTES);
+    loop {
+        if let Err(error) = shared.packets.readable().await {
+            log::error!("E720 packets cannot be read: {error}");
+            tokio::time::sleep(TICK).await;
+        }
+        for _ in 0..BATCH {
+            let Ok((length, _)) = shared.packets.try_recv_from(&mut buffer) else {
+                break;
+            };
+            match packet::decode(&buffer[..length]) {
+                Some(packet) => judge(&shared, &parked, packet, &buffer[..length], &mut out),
+                None => add(&shared.counts.malformed),
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn judge(shared: &Shared, parked: &RefCell<Vec<Parked>>, packet: Packet, bytes: &[u8], out: &mut Vec<u8>) {
+    let now = now();
+    let verdict = shared.path.borrow_mut().receive(now, &packet);
+    let Verdict::Wait(unknown) = verdict else {
+        act(shared, &packet, bytes, verdict, out);
+        return;
+    };
+    let patience = patience_ms(unknown);
+    let mut parked = parked.borrow_mut();
+    if patience == 0 || parked.len() >= MAX_PARKED {
+        add(&shared.counts.dropped);
+        return;
+    }
+    if matches!(packet.kind, Kind::Open { copy } if copy > 0) {
+        // One of the copies is enough.
+        let same = |other: &Parked| other.packet.client == packet.client;
+        if parked.iter().any(same) {
+            return;
+        }
+    }
+    add(&shared.counts.parked);
+    parked.push(Parked { packet, bytes: bytes.to_vec(), until: now + patience });
+}
+
+fn act(shared: &Shared, packet: &Packet, bytes: &[u8], verdict: Verdict, out: &mut Vec<u8>) {
+    match verdict {
+        Verdict::Forward(way) => {
+            packet::forward(bytes, way.number, way.token, out);
+            if matches!(packet.kind, Kind::Open { .. }) {
+                add(&shared.counts.placed);
+            }
+            add(&shared.counts.forwarded);
+            send(shared, out, way.address);
+        }
+        Verdict::Refuse(refusal) => {
+            use ragwortlb::relay::path::Refusal;
+            match refusal {
+                Refusal::Full { .. } => add(&shared.counts.refused_full),
+                Refusal::Dropped => add(&shared.counts.refused_dropped),
+            }
+            refuse(shared, packet);
+        }
+        Verdict::Drop(_) | Verdict::Wait(_) => add(&shared.counts.dropped),
+    }
+}
+
+fn refuse(shared: &Shared, packet: &Packet) {
+    let client = SocketAddrV4::new(*packet.client.ip(), shared.settings.packet_address.port());
+    send(shared, &packet::reset(packet), client);
+}
+
+fn send(shared: &Shared, bytes: &[u8], to: SocketAddrV4) {
+    // A datagram that does not fit now is lost like any other; both ends repeat it.
+    if shared.packets.try_send_to(bytes, to.into()).is_err() {
+        add(&shared.counts.unsent);
+    }
+}
+
+async fn tick(shared: Rc<Shared>, parked: Rc<RefCell<Vec<Parked>>>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut out = Vec::with_capacity(packet::MAX_BYTES);
+    loop {
+        tokio::select! {
+            _ = interval.tick() => shared.path.borrow_mut().tick(now()),
+            () = shared.learned.notified() => {}
+        }
+        shared.log_notes();
+        if !parked.borrow().is_empty() {
+            retry(&shared, &parked, &mut out);
+        }
+    }
+}
+
+/// Judges again what waits.
+fn retry(shared: &Shared, parked: &RefCell<Vec<Parked>>, out: &mut Vec<u8>) {
+    let waiting = std::mem::take(&mut *parked.borrow_mut());
+    for item in waiting {
+        let now = now();
+        let verdict = shared.path.borrow_mut().receive(now, &item.packet);
+        match verdict {
+            Verdict::Wait(_) if now < item.until => parked.borrow_mut().push(item),
+            Verdict::Wait(unknown) => give_up(shared, &item.packet, unknown),
+            _ => act(shared, &item.packet, &item.bytes, verdict, out),
+        }
+    }
+}
+
+fn give_up(shared: &Shared, packet: &Packet, unknown: Unknown) {
+    let opens = matches!(packet.kind, Kind::Open { .. });
+    match unknown {
+        Unknown::Route | Unknown::Targets if opens => {
+            add(&shared.counts.refused_unknown);
+            refuse(shared, packet);
+        }
+        _ => add(&shared.counts.dropped),
+    }
+}
--- /dev/null
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -0,0 +1,117 @@
+//! What the tasks of one instance share, on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddrV4,
+    rc::Rc,
+};
+
+use eyre::{Result, WrapErr};
+use ragwortlb::{
+    relay::path::{self, Path},
+    time::Time,
+};
+use ragwortlb_platform::{ready, settings::Settings};
+use rustix::time::{ClockId, clock_gettime};
+use socket2::SockRef;
+use tokio::{net::UdpSocket, sync::Notify};
+
+/// Bytes of packets that wait to be read: what arrives while the process waits for
+/// its share of a core.
+const RECEIVE_BYTES: usize = 1024 * 1024;
+
+/// Counts of the packet path since the start.
+#[derive(Debug, Default)]
+pub(super) struct Counts {
+    pub forwarded: Cell<u64>,
+    pub placed: Cell<u64>,
+    pub refused_full: Cell<u64>,
+    pub refused_dropped: Cell<u64>,
+    pub refused_unknown: Cell<u64>,
+    pub dropped: Cell<u64>,
+    pub parked: Cell<u64>,
+    pub malformed: Cell<u64>,
+    pub unsent: Cell<u64>,
+    pub store_calls: Cell<u64>,
+    pub store_failures: Cell<u64>,
+    pub news_sent: Cell<u64>,
+    pub news_refused: Cell<u64>,
+}
+
+/// Adds one to a count.
+pub(super) fn add(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+/// State of one instance.
+pub(super) struct Shared {
+    pub settings: Settings,
+    pub path: RefCell<Path>,
+    pub packets: UdpSocket,
+    pub news: UdpSocket,
+    pub counts: Counts,
+    /// Told when packets that wait can be judged again.
+    pub learned: Notify,
+}
+
+impl Shared {
+    pub async fn new(settings: Settings) -> Result<Rc<Shared>> {
+        let packets = bind(settings.packet_address).await?;
+        let news = bind(SocketAddrV4::new(settings.ip, settings.news_port)).await?;
+        let path = Path::new(path::Settings {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            seed: rand::random(),
+            flow_life_ms: settings.flow_life_ms,
+            ..path::Settings::default()
+        });
+        let path = RefCell::new(path);
+        let counts = Counts::default();
+        Ok(Rc::new(Shared { settings, path, packets, news, counts, learned: Notify::new() }))
+    }
+
+    /// Address of another instance for news.
+    pub fn news_address(&self, ip: std::net::Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(ip, self.settings.news_port)
+    }
+
+    /// Logs what the path noted.
+    pub fn log_notes(&self) {
+        let notes = self.path.borrow_mut().take_notes();
+        for note in notes {
+            match note {
+                path::Note::Unanswered { target, strikes, client } => {
+                    log::info!("E710 target {target} did not answer {client}; {strikes} in a row");
+                }
+                path::Note::Paused { gap_ms } => log::warn!("E711 paused for {gap_ms} ms"),
+                path::Note::Target { target, state, revision } => {
+                    log::info!("E712 target {target} is {state:?} at revision {revision}");
+                }
+            }
+        }
+    }
+}
+
+async fn bind(address: SocketAddrV4) -> Result<UdpSocket> {
+    let socket = UdpSocket::bind(address).await.wrap_err_with(|| format!("{address} was not bound"))?;
+    if let Err(error) = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BYTES) {
+        log::debug!("{address} keeps its default buffer: {error}");
+    }
+    Ok(socket)
+}
+
+/// Now, on a clock that also counts the time for which the machine was suspended.
+pub(super) fn now() -> Time {
+    let time = clock_gettime(ClockId::Boottime);
+    Time(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
+}
+
+impl ready::Instance for Shared {
+    fn is_ready(&self) -> bool {
+        self.path.borrow().is_ready()
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 | [`route`] | which target a flow belongs to, and how tables change |
 | [`member`] | who is alive, and who observes whom |
 | [`admit`] | which request may run now, and where |
+| [`relay`] | the packet path where targets echo a token |
 | [`retry`] | whether a request may run again |
 | [`node`] | all of it for one instance: events in, actions out |
 | [`wire`] | what instances tell each other, and its bytes |
@@ -25,6 +26,7 @@
 mod hash;
 pub mod member;
 pub mod node;
+pub mod relay;
 pub mod retry;
 pub mod route;
 mod ticket;
--- /dev/null
+++ b/src/relay/catalog.rs
@@ -0,0 +1,371 @@
+/*!
+Targets and routes as they are known to one instance.
+
+Everything carries the revision of the store at which it was true, and nothing
+goes back: a row or plan of a lower revision changes nothing, whether it came
+from the store or from a peer.
+
+A target that has gone stays known for as long as its flows may live, so that
+their packets still go to its number, which no other target accepts. A target
+whose entry lapsed while the store was in trouble is *missing*: it may well be
+alive, and keeps taking flows until the store has been back for
+[`RETURN_MS`].
+*/
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddrV4,
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Class, Entry, Plan, Token};
+use crate::time::Time;
+
+/// Time after the store's return within which lapsed entries are back, in
+/// milliseconds. The operators state about two seconds.
+pub const RETURN_MS: u64 = 2_300;
+
+/// Most slots of a target that are counted; an entry with more is not believed.
+const MAX_SLOTS: u32 = 4_096;
+
+/// What is known of a target's life, in the order in which it may change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
+pub enum State {
+    /// Takes new flows.
+    Ready,
+    /// Keeps its flows, takes no new ones.
+    Leaving,
+    /// Its entry lapsed while the store was in trouble.
+    Missing,
+    /// Has ended.
+    Gone,
+}
+
+/// What is known of one target at a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Row {
+    /// Last entry.
+    pub entry: Entry,
+    /// State.
+    pub state: State,
+    /// Revision of the store.
+    pub revision: u64,
+}
+
+/// Target in the table.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What is known.
+    pub row: Row,
+    /// Token of its packets.
+    pub token: Token,
+    /// Service's index in the catalog.
+    pub service: usize,
+    /// When its state changed here.
+    pub since: Time,
+    /// When its entry was last renewed here.
+    pub beat_at: Time,
+    /// When it is no longer slow after its start.
+    pub warm_at: Time,
+}
+
+/// Rank of a route's class among the routes of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rank {
+    /// The service has no other class.
+    Only,
+    /// The most urgent class.
+    Urgent,
+    /// Any other class.
+    #[default]
+    Other,
+}
+
+/// Route in the table.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Services by index, with weights.
+    pub shares: Vec<(usize, u32)>,
+    /// What its requests are like.
+    pub class: Class,
+    /// Rank of its class among those of its first service.
+    pub rank: Rank,
+    /// Whether the plan in force has it.
+    pub present: bool,
+}
+
+/// What a change of a row meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing new.
+    None,
+    /// Only a sign of life.
+    Beat(usize),
+    /// Another state, address or size.
+    State(usize),
+    /// A new life under the same or a new name.
+    Life(usize),
+}
+
+/// Targets and routes.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    revision: u64,
+    plan: Plan,
+    targets: Vec<Option<Target>>,
+    by_token: HashMap<Token, usize>,
+    by_name: HashMap<Arc<str>, usize>,
+    services: Vec<Arc<str>>,
+    members: Vec<Vec<usize>>,
+    routes: HashMap<SocketAddrV4, Place>,
+}
+
+impl Catalog {
+    /// Revision up to which the catalog is complete.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes that the catalog is complete up to a revision.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Plan in force.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Target at an index.
+    pub fn target(&self, index: usize) -> Option<&Target> {
+        self.targets.get(index)?.as_ref()
+    }
+
+    /// Length of tables that are indexed by target.
+    pub fn size(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Index of the target that a token names.
+    pub fn find(&self, token: Token) -> Option<usize> {
+        self.by_token.get(&token).copied()
+    }
+
+    /// Targets of a service that are not gone, by index.
+    pub fn members(&self, service: usize) -> &[usize] {
+        self.members.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Name of a service.
+    pub fn service(&self, index: usize) -> &Arc<str> {
+        &self.services[index]
+    }
+
+    /// Number of services that were ever seen.
+    pub fn services(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Route of an address, also if a former plan had it.
+    pub fn route(&self, address: &SocketAddrV4) -> Option<&Place> {
+        self.routes.get(address)
+    }
+
+    /// All rows, for a peer.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.targets.iter().flatten().map(|target| &target.row)
+    }
+
+    /// Takes a plan if it is later than the one in force.
+    pub fn adopt(&mut self, plan: Plan) -> bool {
+        if plan.version <= self.plan.version {
+            return false;
+        }
+        for place in self.routes.values_mut() {
+            place.present = false;
+        }
+        let urgency = self.urgencies(&plan);
+        for route in &plan.routes {
+            let former = self.routes.remove(&route.address);
+            let mut shares = Vec::new();
+            for share in &route.shares {
+                shares.push((self.service_index(&share.service), share.weight));
+            }
+            for (service, _) in former.into_iter().flat_map(|place| place.shares) {
+                if !shares.iter().any(|(known, _)| *known == service) {
+                    shares.push((service, 0));
+                }
+            }
+            let rank = shares.first().map_or(Rank::default(), |(service, _)| {
+                let (lowest, highest) = urgency[&self.services[*service]];
+                match route.class.priority {
+                    _ if lowest == highest => Rank::Only,
+                    priority if priority == lowest => Rank::Urgent,
+                    _ => Rank::Other,
+                }
+            });
+            self.routes.insert(route.address, Place { shares, class: route.class, rank, present: true });
+        }
+        self.plan = plan;
+        true
+    }
+
+    /// Least and greatest priority number of each service's routes.
+    fn urgencies(&self, plan: &Plan) -> BTreeMap<Arc<str>, (u32, u32)> {
+        let mut found = BTreeMap::new();
+        for route in &plan.routes {
+            let priority = route.class.priority;
+            for share in &route.shares {
+                let (lowest, highest) = found.entry(share.service.clone()).or_insert((priority, priority));
+                *lowest = priority.min(*lowest);
+                *highest = priority.max(*highest);
+            }
+        }
+        found
+    }
+
+    /// Takes a row if it is later than what is known of its target.
+    pub fn apply(&mut self, row: Row, now: Time) -> Change {
+        let known = self.by_name.get(&row.entry.name).copied();
+        let Some(index) = known else {
+            return self.insert(row, now);
+        };
+        let target = self.targets[index].as_ref().expect("a named target is in the table");
+        let (revision, state) = (target.row.revision, target.row.state);
+        if (row.revision, row.state) <= (revision, state) {
+            return Change::None;
+        }
+        let is_new_life = row.entry.born_ms != target.row.entry.born_ms
+            || row.entry.address != target.row.entry.address
+            || row.entry.service != target.row.entry.service;
+        self.update(index, row, now);
+        match is_new_life {
+            true => Change::Life(index),
+            false if self.target(index).is_some_and(|target| target.row.state != state) => {
+                Change::State(index)
+            }
+            false => Change::Beat(index),
+        }
+    }
+
+    fn insert(&mut self, row: Row, now: Time) -> Change {
+        if row.state == State::Gone || row.entry.slots == 0 || row.entry.slots > MAX_SLOTS {
+            return Change::None;
+        }
+        let token = Token::of(&row.entry.name);
+        let index = match self.targets.iter().position(Option::is_none) {
+            Some(index) => index,
+            None => {
+                self.targets.push(None);
+                self.targets.len() - 1
+            }
+        };
+        self.by_name.insert(row.entry.name.clone(), index);
+        // Of two names with one token the first in order keeps it, on every instance.
+        let holder = self.by_token.get(&token).and_then(|other| self.target(*other));
+        if holder.is_none_or(|other| other.row.entry.name > row.entry.name) {
+            self.by_token.insert(token, index);
+        }
+        let service = self.service_index(&row.entry.service);
+        let warm_at = now + row.entry.warm_up_ms;
+        self.targets[index] = Some(Target { row, token, service, since: now, beat_at: now, warm_at });
+        self.list();
+        Change::Life(index)
+    }
+
+    fn update(&mut self, index: usize, row: Row, now: Time) {
+        let service = self.service_index(&row.entry.service);
+        let Some(target) = &mut self.targets[index] else {
+            return;
+        };
+        if target.row.state != row.state {
+            target.since = now;
+        }
+        if row.state <= State::Leaving {
+            target.beat_at = now;
+            target.warm_at = now + row.entry.warm_up_ms;
+        }
+        let moved = target.service != service || target.row.state != row.state;
+        target.service = service;
+        target.row = row;
+        if moved {
+            self.list();
+        }
+    }
+
+    /// Takes all entries of a reading at a revision; targets that it does not have
+    /// have gone, or are missing if the store was in trouble.
+    pub fn absent(&self, present: &[Arc<str>], revision: u64, in_trouble: bool) -> Vec<Row> {
+        let state = if in_trouble { State::Missing } else { State::Gone };
+        self.rows()
+            .filter(|row| row.state < state && row.revision < revision)
+            .filter(|row| !present.contains(&row.entry.name))
+            .map(|row| Row { entry: row.entry.clone(), state, revision })
+            .collect()
+    }
+
+    /// Row that ends a target by name at a revision.
+    pub fn ending(&self, name: &str, revision: u64, in_trouble: bool) -> Option<Row> {
+        let target = self.target(*self.by_name.get(name)?)?;
+        let state = if in_trouble { State::Missing } else { State::Gone };
+        Some(Row { entry: target.row.entry.clone(), state, revision })
+    }
+
+    /// Rows of missing targets that have not come back since `returned`.
+    pub fn lapsed(&self, returned: Time, now: Time) -> Vec<Row> {
+        if now.since(returned) < RETURN_MS {
+            return Vec::new();
+        }
+        self.rows()
+            .filter(|row| row.state == State::Missing)
+            .map(|row| Row { state: State::Gone, ..row.clone() })
+            .collect()
+    }
+
+    /// Forgets targets that went longer ago than flows may live.
+    pub fn forget(&mut self, now: Time, flow_life_ms: u64) {
+        for index in 0..self.targets.len() {
+            let Some(target) = &self.targets[index] else {
+                continue;
+            };
+            if target.row.state != State::Gone || now.since(target.since) <= flow_life_ms {
+                continue;
+            }
+            if self.by_token.get(&target.token) == Some(&index) {
+                self.by_token.remove(&target.token);
+            }
+            self.by_name.remove(&target.row.entry.name);
+            self.targets[index] = None;
+        }
+    }
+
+    fn service_index(&mut self, name: &Arc<str>) -> usize {
+        if let Some(index) = self.services.iter().position(|known| known == name) {
+            return index;
+        }
+        self.services.push(name.clone());
+        self.members.push(Vec::new());
+        self.services.len() - 1
+    }
+
+    /// Lists the targets of each service anew.
+    fn list(&mut self) {
+        for members in &mut self.members {
+            members.clear();
+        }
+        for (index, target) in self.targets.iter().enumerate() {
+            let Some(target) = target else {
+                continue;
+            };
+            // A target whose token names another one would get that one's packets.
+            let holds_token = self.by_token.get(&target.token) == Some(&index);
+            if target.row.state != State::Gone && holds_token {
+                self.members[target.service].push(index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/doubt.rs
@@ -0,0 +1,100 @@
+/*!
+Targets that do not answer.
+
+A target answers a client directly, so an instance sees only what the client
+does next: it goes on, which shows that the target answered, or it sends another
+copy of its opening packet, which shows that it did not. A target that left
+[`STRIKES`] opening packets unanswered in a row, here or at peers, gets no new
+flows. From time to time one flow tries it again.
+*/
+
+use crate::time::Time;
+
+/// Unanswered opening packets in a row after which a target is left alone.
+pub const STRIKES: u32 = 2;
+
+/// Time between trials of a target that is left alone, in milliseconds.
+pub const TRIAL_MS: u64 = 1_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Doubt {
+    own: u32,
+    others: u32,
+    others_at: Time,
+    good_at: Time,
+    tried_at: Time,
+}
+
+/// Time for which a peer's word about a target counts, in milliseconds.
+const WORD_LIFE_MS: u64 = 1_000;
+
+/// What is doubted, by target.
+#[derive(Clone, Debug, Default)]
+pub struct Doubts {
+    table: Vec<Doubt>,
+}
+
+impl Doubts {
+    fn row(&mut self, target: usize) -> &mut Doubt {
+        if self.table.len() <= target {
+            self.table.resize(target + 1, Doubt::default());
+        }
+        &mut self.table[target]
+    }
+
+    /// Notes an opening packet that the target did not answer.
+    pub fn strike(&mut self, target: usize, now: Time) {
+        let row = self.row(target);
+        row.own = row.own.saturating_add(1);
+        row.tried_at = now;
+    }
+
+    /// Notes that the target answered.
+    pub fn clear(&mut self, target: usize, now: Time) {
+        let row = self.row(target);
+        row.own = 0;
+        row.others = 0;
+        row.good_at = now;
+    }
+
+    /// Takes a peer's count of unanswered packets.
+    pub fn hear(&mut self, target: usize, strikes: u32, now: Time) {
+        let row = self.row(target);
+        if now.since(row.good_at) < WORD_LIFE_MS && row.good_at > Time(0) {
+            return;
+        }
+        if strikes >= row.others || now.since(row.others_at) >= WORD_LIFE_MS {
+            row.others = strikes;
+            row.others_at = now;
+        }
+    }
+
+    /// Own count of unanswered packets.
+    pub fn strikes(&self, target: usize) -> u32 {
+        self.table.get(target).map_or(0, |row| row.own)
+    }
+
+    /// Reports whether a target is left alone now.
+    pub fn is_out(&self, target: usize, now: Time) -> bool {
+        let Some(row) = self.table.get(target) else {
+            return false;
+        };
+        let others = if now.since(row.others_at) < WORD_LIFE_MS { row.others } else { 0 };
+        row.own + others >= STRIKES
+    }
+
+    /// Reports whether a target that is left alone may be tried with one flow.
+    pub fn may_try(&self, target: usize, now: Time) -> bool {
+        self.table.get(target).is_none_or(|row| now.since(row.tried_at) >= TRIAL_MS)
+    }
+
+    /// Notes that a flow tries the target.
+    pub fn note_trial(&mut self, target: usize, now: Time) {
+        self.row(target).tried_at = now;
+    }
+
+    /// Forgets what was held against a target.
+    pub fn reset(&mut self, target: usize) {
+        *self.row(target) = Doubt::default();
+    }
+}
--- /dev/null
+++ b/src/relay/flows.rs
@@ -0,0 +1,109 @@
+/*!
+Flows that this instance placed, for as long as they are likely to keep a target
+at work.
+
+The table counts work and routes nothing: a packet after the first goes where
+its token says. So a record may be lost without harm, and must not outlive its
+flow by much. When the fabric moves flows to other instances, their ends are not
+seen here; a record expires after a bound that follows from how long flows of
+its target take.
+*/
+
+use std::{collections::HashMap, net::SocketAddrV4};
+
+use crate::{hash, time::Time};
+
+/// Key of a flow: both ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Key(u64);
+
+impl Key {
+    /// Key of a flow's ends.
+    pub fn of(client: SocketAddrV4, address: SocketAddrV4) -> Key {
+        let ends = |end: SocketAddrV4| (u64::from(u32::from(*end.ip())) << 16) | u64::from(end.port());
+        Key(hash::pair(ends(client), ends(address)))
+    }
+
+    /// Bits of the key, spread evenly.
+    pub fn bits(self) -> u64 {
+        self.0
+    }
+}
+
+/// Flow that may keep a target at work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Flow {
+    /// Target's index.
+    pub target: usize,
+    /// When its opening packet was sent on.
+    pub opened: Time,
+    /// When it last carried a request or an opening packet.
+    pub active: Time,
+    /// Whether the client has answered the target.
+    pub is_open: bool,
+    /// Whether the target looked idle when the flow was placed there, so that its
+    /// time shows the target and not a queue.
+    pub is_sample: bool,
+    /// Until when it counts.
+    pub expires: Time,
+}
+
+/// Flow whose record ended without its end being seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expired {
+    /// Key.
+    pub key: Key,
+    /// Record.
+    pub flow: Flow,
+}
+
+/// Records of flows.
+#[derive(Clone, Debug, Default)]
+pub struct Flows {
+    table: HashMap<Key, Flow>,
+}
+
+impl Flows {
+    /// Record of a flow.
+    pub fn get(&self, key: Key) -> Option<&Flow> {
+        self.table.get(&key)
+    }
+
+    /// Record of a flow, to change.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Flow> {
+        self.table.get_mut(&key)
+    }
+
+    /// Adds a record; returns the one that it replaces.
+    pub fn insert(&mut self, key: Key, flow: Flow) -> Option<Flow> {
+        self.table.insert(key, flow)
+    }
+
+    /// Ends a record.
+    pub fn remove(&mut self, key: Key) -> Option<Flow> {
+        self.table.remove(&key)
+    }
+
+    /// Ends all records whose time is over.
+    pub fn expire(&mut self, now: Time) -> Vec<Expired> {
+        self.table
+            .extract_if(|_, flow| flow.expires <= now)
+            .map(|(key, flow)| Expired { key, flow })
+            .collect()
+    }
+
+    /// Ends all records, as after a pause.
+    pub fn clear(&mut self) {
+        self.table.clear();
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Reports whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+}
--- /dev/null
+++ b/src/relay/news.rs
@@ -0,0 +1,176 @@
+/*!
+What instances tell each other on the packet path, and its bytes.
+
+A report says how many flows the sender has open at each target, many times a
+second; rows pass on what a reader of the store has learned. Both fit into one
+datagram each, may be lost, and are checked when they are read. Who lacks rows
+fetches a [`Snapshot`].
+
+# Example
+
+```
+use ragwortlb::relay::news::{Frame, News, Report};
+
+let report = Report { revision: 7, ..Report::default() };
+let frame = Frame { sender: "pa-1".into(), zone: "pa".into(), news: News::Report(report) };
+assert_eq!(Frame::from_bytes(&frame.to_bytes()).unwrap(), frame);
+assert!(Frame::from_bytes(b"nonsense").is_err());
+```
+*/
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::{Plan, Token, catalog::Row};
+use crate::Error;
+
+/// Version of the encoding.
+const VERSION: u8 = 1;
+
+/// Longest datagram, in bytes; one packet on the usual links.
+pub const MAX_FRAME_BYTES: usize = 1_400;
+
+/// Longest snapshot, in bytes: twice what the platform's store holds in one value.
+pub const MAX_SNAPSHOT_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes of rows that are put into one datagram.
+const ROWS_BYTES: usize = 1_200;
+
+/// What a sender has at one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Load {
+    /// Target.
+    pub token: Token,
+    /// Open flows.
+    pub open: u32,
+    /// Opening packets in a row that it did not answer.
+    pub strikes: u32,
+}
+
+/// State of a sender.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Report {
+    /// Revision of the store up to which the sender is complete.
+    pub revision: u64,
+    /// Version of its plan.
+    pub plan_version: u64,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// Targets at which it has flows open or doubts.
+    pub loads: Vec<Load>,
+}
+
+/// Rows between two revisions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Rows {
+    /// Revision that a receiver must have.
+    pub after: u64,
+    /// Revision that it has then.
+    pub revision: u64,
+    /// Changed rows.
+    pub rows: Vec<Row>,
+}
+
+/// Message of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum News {
+    /// State of the sender.
+    Report(Report),
+    /// What changed in the store.
+    Rows(Rows),
+}
+
+/// Message with its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Frame {
+    /// Sender's name.
+    pub sender: Arc<str>,
+    /// Sender's availability zone.
+    pub zone: Arc<str>,
+    /// Message.
+    pub news: News,
+}
+
+/// All that an instance knows of targets and routes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Snapshot {
+    /// Revision up to which it is complete.
+    pub revision: u64,
+    /// Plan in force.
+    pub plan: Plan,
+    /// Rows of all targets.
+    pub rows: Vec<Row>,
+}
+
+impl Frame {
+    /// Encodes the frame.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a frame of this version.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Frame, Error> {
+        decode("read a peer's frame", bytes)
+    }
+}
+
+impl Snapshot {
+    /// Encodes the snapshot.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a snapshot of this version.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Snapshot, Error> {
+        decode("read a peer's snapshot", bytes)
+    }
+}
+
+/// Splits rows so that each part fits into a datagram. All parts but the last leave
+/// the receiver at `after`.
+pub fn split(after: u64, revision: u64, rows: Vec<Row>) -> Vec<Rows> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for row in rows {
+        let size = postcard::experimental::serialized_size(&row).unwrap_or(ROWS_BYTES);
+        if bytes + size > ROWS_BYTES && !part.is_empty() {
+            parts.push(Rows { after, revision: after, rows: std::mem::take(&mut part) });
+            bytes = 0;
+        }
+        bytes += size;
+        part.push(row);
+    }
+    parts.push(Rows { after, revision, rows: part });
+    parts
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    postcard::to_extend(value, vec![VERSION]).expect("encoding into memory does not fail")
+}
+
+fn decode<T: DeserializeOwned>(step: &'static str, bytes: &[u8]) -> Result<T, Error> {
+    let Some((&VERSION, rest)) = bytes.split_first() else {
+        return Err(Error::new(step, "it has another version"));
+    };
+    match postcard::take_from_bytes(rest) {
+        Ok((value, [])) => Ok(value),
+        Ok((_, rest)) => Err(Error::new(step, format!("{} bytes are left over", rest.len()))),
+        Err(error) => Err(Error::new(step, error.to_string())),
+    }
+}
--- /dev/null
+++ b/src/relay/path.rs
@@ -0,0 +1,637 @@
+/*!
+The packet path of one instance: packets in, verdicts out.
+
+A packet of an open flow takes one look-up by token and one by address, and
+changes at most the count of its own flow. An opening packet is placed by
+[`super::place`]. Nothing here waits: a packet that cannot be judged yet is
+given back as [`Verdict::Wait`], and the caller asks again when more is known.
+*/
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    Class, Kind, Packet, Plan, Token,
+    catalog::{Catalog, Change, Rank, Row, State, Target},
+    doubt::Doubts,
+    flows::{Flow, Flows, Key},
+    load::{self, Loads},
+    news::{Load, Report, Rows, Snapshot},
+    peers::Peers,
+    place::{self, Candidate, Choice, Demand},
+};
+use crate::time::Time;
+
+/// Gap between ticks from which on this instance was paused, in milliseconds: far
+/// above what scheduling delays a tick, far below what a client waits.
+pub const PAUSE_MS: u64 = 500;
+
+/// Time after an opening packet within which a copy of it goes to the same target,
+/// in milliseconds. Clients send the first copy after 200.
+const COPY_GAP_MS: u64 = 150;
+
+/// Time after which a flow whose client did not go on was refused by its target,
+/// in milliseconds: the first copy would have come by then.
+const SILENT_OPEN_MS: u64 = 300;
+
+/// Bound of a flow's time as a multiple of its service's mean.
+const FLOW_BOUND_MEANS: f32 = 4.0;
+
+/// Least and greatest bound of a flow's time, in milliseconds.
+const FLOW_BOUND_MS: (f32, f32) = (300.0, 3_000.0);
+
+/// Time after a client's first packet at which each copy is sent, in milliseconds,
+/// as clients of the platform do.
+const COPY_SENT_MS: [u64; 3] = [0, 200, 600];
+
+/// Time for which former knowledge is not used after a pause, in milliseconds;
+/// after that nobody can be reached who knows more.
+const DISTRUST_MS: u64 = 300;
+
+/// Settings of the path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this instance.
+    pub name: Arc<str>,
+    /// Availability zone of this instance.
+    pub zone: Arc<str>,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Longest life of a flow, in milliseconds.
+    pub flow_life_ms: u64,
+    /// Limits of placing.
+    pub place: place::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: "instance".into(),
+            zone: "zone".into(),
+            seed: 1,
+            flow_life_ms: 60_000,
+            place: place::Settings::default(),
+        }
+    }
+}
+
+/// Why a packet cannot be judged yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// No plan is known.
+    Plan,
+    /// The plan has no such route.
+    Route,
+    /// No target has the token.
+    Token,
+    /// The route's services have no target.
+    Targets,
+    /// What was known before a pause is not used.
+    Pause,
+}
+
+/// Why a flow is refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// The plan dropped the route.
+    Dropped,
+    /// All targets are busy for longer than the class may wait.
+    Full {
+        /// Shortest wait, in milliseconds.
+        wait_ms: f32,
+        /// Longest wait that the class may have, in milliseconds.
+        limit_ms: f32,
+    },
+}
+
+/// Why a packet goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It names no target and opens no flow.
+    NoToken,
+    /// Its token names a target of a service that its route does not have.
+    Foreign,
+    /// It belongs to a route that the plan dropped.
+    Dropped,
+}
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// Target's index.
+    pub target: usize,
+    /// Target's address.
+    pub address: SocketAddrV4,
+    /// Number in front of the packet.
+    pub number: u64,
+    /// Token that the packet carries on.
+    pub token: Token,
+}
+
+/// What to do with a packet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it on.
+    Forward(Way),
+    /// Reset the flow, which has not opened.
+    Refuse(Refusal),
+    /// Drop it.
+    Drop(Loss),
+    /// Keep it until more is known, or drop it.
+    Wait(Unknown),
+}
+
+/// What happened that is worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A copy of an opening packet came: the target did not answer.
+    Unanswered {
+        /// Target's name.
+        target: Arc<str>,
+        /// In a row, as this instance counts.
+        strikes: u32,
+        /// Client's end.
+        client: SocketAddrV4,
+    },
+    /// The instance was paused.
+    Paused {
+        /// Length of the gap, in milliseconds.
+        gap_ms: u64,
+    },
+    /// A target changed.
+    Target {
+        /// Target's name.
+        target: Arc<str>,
+        /// Its state.
+        state: State,
+        /// Revision of the store.
+        revision: u64,
+    },
+}
+
+/// Packet path of one instance.
+#[derive(Debug)]
+pub struct Path {
+    settings: Settings,
+    catalog: Catalog,
+    flows: Flows,
+    loads: Loads,
+    doubts: Doubts,
+    peers: Peers,
+    random: Pcg64Mcg,
+    ticked: Option<Time>,
+    resumed: Option<Time>,
+    dark: Vec<(Arc<str>, Time)>,
+    candidates: Vec<Candidate>,
+    proven: Vec<Time>,
+    notes: Vec<Note>,
+    is_leaving: bool,
+}
+
+impl Path {
+    /// Path that knows nothing yet.
+    pub fn new(settings: Settings) -> Path {
+        let random = Pcg64Mcg::seed_from_u64(settings.seed);
+        Path {
+            settings,
+            catalog: Catalog::default(),
+            flows: Flows::default(),
+            loads: Loads::default(),
+            doubts: Doubts::default(),
+            peers: Peers::default(),
+            random,
+            ticked: None,
+            resumed: None,
+            dark: Vec::new(),
+            candidates: Vec::new(),
+            proven: Vec::new(),
+            notes: Vec::new(),
+            is_leaving: false,
+        }
+    }
+
+    /// Targets and routes.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Other instances.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Other instances, to change.
+    pub fn peers_mut(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Open flows of targets.
+    pub fn loads(&self) -> &Loads {
+        &self.loads
+    }
+
+    /// Number of own flows that count.
+    pub fn open_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Notes since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Notes that this instance leaves.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Reports whether enough is known to serve.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving && self.catalog.plan().version > 0 && self.catalog.revision() > 0
+    }
+
+    /// Reports whether this instance reads the store for its availability zone.
+    pub fn is_reader(&self, now: Time) -> bool {
+        !self.is_leaving && self.peers.is_reader(&self.settings.name, &self.settings.zone, now)
+    }
+
+    /// Judges a packet.
+    pub fn receive(&mut self, now: Time, packet: &Packet) -> Verdict {
+        if self.ticked.is_some_and(|ticked| now.since(ticked) >= PAUSE_MS) {
+            self.tick(now);
+        }
+        match packet.kind {
+            Kind::Open { copy } => self.open(now, packet, copy),
+            _ => self.follow(now, packet),
+        }
+    }
+
+    fn follow(&mut self, now: Time, packet: &Packet) -> Verdict {
+        if packet.token == Token::NONE {
+            return Verdict::Drop(Loss::NoToken);
+        }
+        let Some(index) = self.catalog.find(packet.token) else {
+            return Verdict::Wait(Unknown::Token);
+        };
+        let Some(place) = self.catalog.route(&packet.address) else {
+            let none = self.catalog.plan().version == 0;
+            return Verdict::Wait(if none { Unknown::Plan } else { Unknown::Route });
+        };
+        if !place.present {
+            return Verdict::Drop(Loss::Dropped);
+        }
+        let Some(target) = self.catalog.target(index) else {
+            return Verdict::Wait(Unknown::Token);
+        };
+        let service = target.service;
+        if !place.shares.iter().any(|(known, _)| *known == service) {
+            return Verdict::Drop(Loss::Foreign);
+        }
+        let way = way(index, target);
+        self.count(now, packet, index, service);
+        Verdict::Forward(way)
+    }
+
+    /// Counts what a packet of an open flow says about its target.
+    fn count(&mut self, now: Time, packet: &Packet, target: usize, service: usize) {
+        let key = Key::of(packet.client, packet.address);
+        match packet.kind {
+            Kind::Open { .. } => {}
+            Kind::Data { request } => {
+                let expires = now + self.flow_bound_ms(service);
+                match self.flows.get_mut(key) {
+                    Some(flow) => {
+                        let is_first = !flow.is_open;
+                        flow.is_open = true;
+                        if request {
+                            flow.active = now;
+                            flow.expires = expires;
+                        }
+                        if is_first {
+                            self.answered(target, now);
+                        }
+                    }
+                    None if request => self.start(
+                        key,
+                        Flow { target, opened: now, active: now, is_open: true, is_sample: false, expires },
+                    ),
+                    None => {}
+                }
+            }
+            Kind::Close | Kind::Abort => {
+                let Some(flow) = self.flows.remove(key) else {
+                    return;
+                };
+                self.loads.end(flow.target);
+                if flow.is_sample && flow.target == target && packet.kind == Kind::Close {
+                    self.loads.sample(target, service, now.since(flow.opened));
+                }
+                self.answered(target, now);
+            }
+        }
+    }
+
+    fn answered(&mut self, target: usize, now: Time) {
+        self.doubts.clear(target, now);
+        if self.proven.len() <= target {
+            self.proven.resize(target + 1, Time(0));
+        }
+        self.proven[target] = now;
+    }
+
+    fn start(&mut self, key: Key, flow: Flow) {
+        self.loads.start(flow.target);
+        if let Some(former) = self.flows.insert(key, flow) {
+            self.loads.end(former.target);
+        }
+    }
+
+    fn flow_bound_ms(&self, service: usize) -> u64 {
+        let bound = FLOW_BOUND_MEANS * self.loads.mean_ms(service);
+        bound.clamp(FLOW_BOUND_MS.0, FLOW_BOUND_MS.1) as u64
+    }
+
+    fn open(&mut self, now: Time, packet: &Packet, copy: u32) -> Verdict {
+        if self.catalog.plan().version == 0 {
+            return Verdict::Wait(Unknown::Plan);
+        }
+        if self.resumed.is_some_and(|resumed| now.since(resumed) < DISTRUST_MS) {
+            return Verdict::Wait(Unknown::Pause);
+        }
+        let Some(place) = self.catalog.route(&packet.address) else {
+            return Verdict::Wait(Unknown::Route);
+        };
+        if !place.present {
+            return Verdict::Refuse(Refusal::Dropped);
+        }
+        let (class, rank) = (place.class, place.rank);
+        let key = Key::of(packet.client, packet.address);
+        let service = pick(&place.shares, key);
+        let mut avoid = None;
+        if let Some(flow) = self.flows.get(key).cloned() {
+            let target = self.catalog.target(flow.target);
+            let holds = flow.is_open || now.since(flow.active) < COPY_GAP_MS;
+            match target {
+                Some(target) if holds => return Verdict::Forward(way(flow.target, target)),
+                _ => avoid = Some(flow.target),
+            }
+            self.unanswered(now, packet, key, flow.target);
+        }
+        self.place(now, key, service, class, rank, copy, avoid)
+    }
+
+    fn unanswered(&mut self, now: Time, packet: &Packet, key: Key, target: usize) {
+        self.flows.remove(key);
+        self.loads.end(target);
+        self.doubts.strike(target, now);
+        if let Some(known) = self.catalog.target(target) {
+            let name = known.row.entry.name.clone();
+            let strikes = self.doubts.strikes(target);
+            self.notes.push(Note::Unanswered { target: name, strikes, client: packet.client });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn place(
+        &mut self,
+        now: Time,
+        key: Key,
+        service: usize,
+        class: Class,
+        rank: Rank,
+        copy: u32,
+        avoid: Option<usize>,
+    ) -> Verdict {
+        let trial = if rank == Rank::Urgent || copy > 0 { None } else { self.trial(now, service) };
+        let passed = COPY_SENT_MS[(copy as usize).min(COPY_SENT_MS.len() - 1)];
+        let mean_ms = self.loads.mean_ms(service);
+        let left_ms = class.objective_ms.saturating_sub(passed) as f32;
+        let demand = Demand {
+            objective_ms: if left_ms < mean_ms { class.objective_ms as f32 } else { left_ms },
+            rank,
+            is_late: left_ms < mean_ms,
+            mean_ms,
+        };
+        let mut candidates = std::mem::take(&mut self.candidates);
+        self.list(now, service, avoid, &mut candidates);
+        let choice = match trial {
+            Some(target) => Choice::Target(target),
+            None => self.settings.place.choose(&demand, &candidates, &mut self.random),
+        };
+        let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
+        let is_sample = copy == 0 && found.is_some_and(|candidate| candidate.open < candidate.slots);
+        self.candidates = candidates;
+        match choice {
+            Choice::Empty => Verdict::Wait(Unknown::Targets),
+            Choice::Full { wait_ms, limit_ms } => Verdict::Refuse(Refusal::Full { wait_ms, limit_ms }),
+            Choice::Target(index) => {
+                let Some(target) = self.catalog.target(index) else {
+                    return Verdict::Wait(Unknown::Targets);
+                };
+                let way = way(index, target);
+                let expires = now + self.flow_bound_ms(service);
+                let flow =
+                    Flow { target: index, opened: now, active: now, is_open: false, is_sample, expires };
+                self.start(key, flow);
+                Verdict::Forward(way)
+            }
+        }
+    }
+
+    /// Target that is left alone and due for a trial. It must have shown a sign of
+    /// life since it was tried last.
+    fn trial(&mut self, now: Time, service: usize) -> Option<usize> {
+        let found = self.catalog.members(service).iter().copied().find(|index| {
+            self.doubts.is_out(*index, now)
+                && self.doubts.may_try(*index, now)
+                && self.catalog.target(*index).is_some_and(|target| {
+                    target.row.state == State::Ready && now.since(target.beat_at) < super::doubt::TRIAL_MS
+                })
+        })?;
+        self.doubts.note_trial(found, now);
+        Some(found)
+    }
+
+    fn list(&self, now: Time, service: usize, avoid: Option<usize>, candidates: &mut Vec<Candidate>) {
+        candidates.clear();
+        for &index in self.catalog.members(service) {
+            let Some(target) = self.catalog.target(index) else {
+                continue;
+            };
+            if target.row.state == State::Leaving || Some(index) == avoid {
+                continue;
+            }
+            candidates.push(self.candidate(now, index, target));
+        }
+    }
+
+    fn candidate(&self, now: Time, index: usize, target: &Target) -> Candidate {
+        let entry = &target.row.entry;
+        let proven = self.proven.get(index).copied().unwrap_or_default();
+        let is_cut_off = self.dark.iter().any(|(zone, since)| *zone == entry.zone && proven <= *since);
+        Candidate {
+            target: index,
+            slots: entry.slots as f32,
+            open: self.loads.all(index) as f32,
+            slowness: self.loads.slowness(index, target.service),
+            is_cold: now < target.warm_at,
+            is_near: entry.zone == self.settings.zone,
+            is_doubted: is_cut_off || self.doubts.is_out(index, now),
+        }
+    }
+
+    /// Runs what is due; to be called some ten times a second or more.
+    pub fn tick(&mut self, now: Time) {
+        let gap_ms = self.ticked.map_or(0, |ticked| now.since(ticked));
+        self.ticked = Some(now);
+        if gap_ms >= PAUSE_MS {
+            self.resume(now, gap_ms);
+        }
+        for expired in self.flows.expire(now) {
+            self.loads.end(expired.flow.target);
+            let silent = now.since(expired.flow.opened) >= SILENT_OPEN_MS;
+            if !expired.flow.is_open && silent {
+                self.doubts.strike(expired.flow.target, now);
+            }
+        }
+        self.loads.expire(now);
+        self.peers.forget(now);
+        self.dark = self.peers.dark_zones(&self.settings.zone, now);
+        self.catalog.forget(now, self.settings.flow_life_ms);
+    }
+
+    fn resume(&mut self, now: Time, gap_ms: u64) {
+        self.notes.push(Note::Paused { gap_ms });
+        self.flows.clear();
+        self.loads.clear();
+        self.peers.resume(now);
+        self.resumed = Some(now);
+    }
+
+    /// Time since the end of a pause, if nothing was confirmed since then, in
+    /// milliseconds.
+    pub fn paused_for(&self, now: Time) -> Option<u64> {
+        self.resumed.map(|resumed| now.since(resumed))
+    }
+
+    /// Notes that what is known was confirmed after the last pause.
+    pub fn confirm(&mut self) {
+        self.resumed = None;
+    }
+
+    /// Takes a plan if it is later than the one in force.
+    pub fn adopt(&mut self, plan: Plan) -> bool {
+        self.catalog.adopt(plan)
+    }
+
+    /// Takes a row; returns whether it was new.
+    pub fn apply(&mut self, row: Row, now: Time) -> bool {
+        let (name, state, revision) = (row.entry.name.clone(), row.state, row.revision);
+        match self.catalog.apply(row, now) {
+            Change::None => return false,
+            Change::Beat(_) => return true,
+            Change::State(_) => {}
+            Change::Life(index) => {
+                self.loads.reset(index);
+                self.doubts.reset(index);
+            }
+        }
+        self.notes.push(Note::Target { target: name, state, revision });
+        true
+    }
+
+    /// Takes rows that a reader passed on; returns whether this instance is complete
+    /// up to their revision.
+    pub fn take_rows(&mut self, rows: Rows, now: Time) -> bool {
+        let is_next = rows.after <= self.catalog.revision();
+        for row in rows.rows {
+            self.apply(row, now);
+        }
+        if is_next {
+            self.catalog.advance(rows.revision);
+        }
+        is_next
+    }
+
+    /// All that is known here.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            revision: self.catalog.revision(),
+            plan: self.catalog.plan().clone(),
+            rows: self.catalog.rows().cloned().collect(),
+        }
+    }
+
+    /// Takes all that a peer knows.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot, now: Time) {
+        self.adopt(snapshot.plan);
+        for row in snapshot.rows {
+            self.apply(row, now);
+        }
+        self.catalog.advance(snapshot.revision);
+    }
+
+    /// Notes that the catalog is complete up to a revision.
+    pub fn advance(&mut self, revision: u64) {
+        self.catalog.advance(revision);
+    }
+
+    /// Takes a peer's report.
+    pub fn hear(&mut self, sender: &str, report: &Report, now: Time) {
+        let mut loads = Vec::with_capacity(report.loads.len());
+        for load in &report.loads {
+            let Some(target) = self.catalog.find(load.token) else {
+                continue;
+            };
+            loads.push(load::Report { target, open: load.open });
+            self.doubts.hear(target, load.strikes, now);
+        }
+        self.loads.report(Peers::key(sender), loads, now);
+        if let Some(row) = self.peers.get_mut(sender) {
+            row.revision = report.revision;
+            row.plan_version = report.plan_version;
+            row.is_leaving = report.is_leaving;
+        }
+    }
+
+    /// Own state, for peers.
+    pub fn report(&self) -> Report {
+        let loads = (0..self.catalog.size())
+            .filter_map(|index| {
+                let target = self.catalog.target(index)?;
+                let (open, strikes) = (self.loads.own(index), self.doubts.strikes(index));
+                (open + strikes > 0).then_some(Load { token: target.token, open, strikes })
+            })
+            .collect();
+        Report {
+            revision: self.catalog.revision(),
+            plan_version: self.catalog.plan().version,
+            is_leaving: self.is_leaving,
+            loads,
+        }
+    }
+}
+
+fn way(index: usize, target: &Target) -> Way {
+    let entry = &target.row.entry;
+    Way { target: index, address: entry.address, number: entry.number, token: target.token }
+}
+
+/// Service of a flow, by the weights of its route.
+fn pick(shares: &[(usize, u32)], key: Key) -> usize {
+    let total: u64 = shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    if total == 0 {
+        return shares.first().map_or(0, |(service, _)| *service);
+    }
+    let mut draw = key.bits() % total;
+    for (service, weight) in shares {
+        let weight = u64::from(*weight);
+        if draw < weight {
+            return *service;
+        }
+        draw -= weight;
+    }
+    shares[0].0
+}
