Share the room in front of busy targets, and rank classes by traffic

Cause: under all traffic times 4 each of seven instances filled the same room, and idle routes of priority 0 hid that bookings are the most urgent traffic.

--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -103,7 +103,7 @@
         Verdict::Refuse(refusal) => {
             use ragwortlb::relay::path::Refusal;
             match refusal {
-                Refusal::Full { .. } => add(&shared.counts.refused_full),
+                Refusal::Full { .. } | Refusal::Spent => add(&shared.counts.refused_full),
                 Refusal::Dropped => add(&shared.counts.refused_dropped),
             }
             refuse(shared, packet);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,6 +13,8 @@
 | [`catalog`] | targets and routes as they are known here, in revision order |
 | [`flows`] | flows that this instance placed, until they end or expire |
 | [`load`] | open flows of each target: own ones and those that peers report |
+| [`budget`] | how much of the room each instance may fill |
+| [`mix`] | which classes of requests arrive now |
 | [`place`] | where a new flow goes, or why it is refused |
 | [`doubt`] | targets that do not answer |
 | [`news`] | what instances tell each other, and its bytes |
@@ -39,10 +41,12 @@
 ```
 */
 
+pub mod budget;
 pub mod catalog;
 pub mod doubt;
 pub mod flows;
 pub mod load;
+pub mod mix;
 pub mod news;
 pub mod path;
 pub mod peers;
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -12,11 +12,7 @@
 [`RETURN_MS`].
 */
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddrV4,
-    sync::Arc,
-};
+use std::{collections::HashMap, net::SocketAddrV4, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -73,18 +69,6 @@
     pub warm_at: Time,
 }
 
-/// Rank of a route's class among the routes of one service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Rank {
-    /// The service has no other class.
-    Only,
-    /// The most urgent class.
-    Urgent,
-    /// Any other class.
-    #[default]
-    Other,
-}
-
 /// Route in the table.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -92,8 +76,6 @@
     pub shares: Vec<(usize, u32)>,
     /// What its requests are like.
     pub class: Class,
-    /// Rank of its class among those of its first service.
-    pub rank: Rank,
     /// Whether the plan in force has it.
     pub present: bool,
 }
@@ -188,7 +170,6 @@
         for place in self.routes.values_mut() {
             place.present = false;
         }
-        let urgency = self.urgencies(&plan);
         for route in &plan.routes {
             let former = self.routes.remove(&route.address);
             let mut shares = Vec::new();
@@ -200,34 +181,12 @@
                     shares.push((service, 0));
                 }
             }
-            let rank = shares.first().map_or(Rank::default(), |(service, _)| {
-                let (lowest, highest) = urgency[&self.services[*service]];
-                match route.class.priority {
-                    _ if lowest == highest => Rank::Only,
-                    priority if priority == lowest => Rank::Urgent,
-                    _ => Rank::Other,
-                }
-            });
-            self.routes.insert(route.address, Place { shares, class: route.class, rank, present: true });
+            self.routes.insert(route.address, Place { shares, class: route.class, present: true });
         }
         self.plan = plan;
         true
     }
 
-    /// Least and greatest priority number of each service's routes.
-    fn urgencies(&self, plan: &Plan) -> BTreeMap<Arc<str>, (u32, u32)> {
-        let mut found = BTreeMap::new();
-        for route in &plan.routes {
-            let priority = route.class.priority;
-            for share in &route.shares {
-                let (lowest, highest) = found.entry(share.service.clone()).or_insert((priority, priority));
-                *lowest = priority.min(*lowest);
-                *highest = priority.max(*highest);
-            }
-        }
-        found
-    }
-
     /// Takes a row if it is later than what is known of its target.
     pub fn apply(&mut self, row: Row, now: Time) -> Change {
         let known = self.by_name.get(&row.entry.name).copied();
--- /dev/null
+++ b/src/relay/mix.rs
@@ -0,0 +1,75 @@
+/*!
+Which classes of requests a service gets now, by priority.
+
+A plan may name classes that nobody uses, so how urgent a class is follows from
+the traffic: it stands above those that arrive at the same time with a greater
+priority number.
+*/
+
+use crate::time::Time;
+
+/// Time in which the weight of an arrival halves, in milliseconds: shorter than a
+/// flood, longer than the gaps between requests of a class in use.
+const HALF_LIFE_MS: f32 = 2_000.0;
+
+/// Share of a service's arrivals from which on a class counts as in use.
+const LEAST_SHARE: f32 = 0.02;
+
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    priority: u32,
+    weight: f32,
+}
+
+/// Recent arrivals of each service.
+#[derive(Clone, Debug, Default)]
+pub struct Mix {
+    services: Vec<Vec<Share>>,
+    decayed: Time,
+}
+
+impl Mix {
+    /// Notes a request.
+    pub fn note(&mut self, service: usize, priority: u32) {
+        if self.services.len() <= service {
+            self.services.resize(service + 1, Vec::new());
+        }
+        let shares = &mut self.services[service];
+        match shares.iter_mut().find(|share| share.priority == priority) {
+            Some(share) => share.weight += 1.0,
+            None => shares.push(Share { priority, weight: 1.0 }),
+        }
+    }
+
+    /// Lets former arrivals weigh less.
+    pub fn tick(&mut self, now: Time) {
+        let passed_ms = now.since(self.decayed) as f32;
+        self.decayed = now;
+        let factor = 0.5f32.powf(passed_ms / HALF_LIFE_MS);
+        for shares in &mut self.services {
+            shares.iter_mut().for_each(|share| share.weight *= factor);
+            shares.retain(|share| share.weight > 0.01);
+        }
+    }
+
+    /// Standing of a class among those in use: one for the most urgent or only one,
+    /// zero for the least urgent of several.
+    pub fn standing(&self, service: usize, priority: u32) -> f32 {
+        let shares = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let total: f32 = shares.iter().map(|share| share.weight).sum();
+        let others =
+            shares.iter().filter(|share| share.priority != priority && share.weight >= LEAST_SHARE * total);
+        let below = others.clone().filter(|share| share.priority > priority).count();
+        match others.count() {
+            0 => 1.0,
+            others => below as f32 / others as f32,
+        }
+    }
+
+    /// Reports whether no class in use is less urgent.
+    pub fn is_least(&self, service: usize, priority: u32) -> bool {
+        let shares = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let total: f32 = shares.iter().map(|share| share.weight).sum();
+        !shares.iter().any(|share| share.priority > priority && share.weight >= LEAST_SHARE * total)
+    }
+}
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -14,10 +14,12 @@
 
 use super::{
     Class, Kind, Packet, Plan, Token,
-    catalog::{Catalog, Change, Rank, Row, State, Target},
+    budget::{self, Budget},
+    catalog::{Catalog, Change, Row, State, Target},
     doubt::Doubts,
     flows::{Flow, Flows, Key},
     load::{self, Loads},
+    mix::Mix,
     news::{Load, Report, Rows, Snapshot},
     peers::Peers,
     place::{self, Candidate, Choice, Demand},
@@ -97,6 +99,8 @@
 pub enum Refusal {
     /// The plan dropped the route.
     Dropped,
+    /// This instance's part of the room in front of busy targets is used up.
+    Spent,
     /// All targets are busy for longer than the class may wait.
     Full {
         /// Shortest wait, in milliseconds.
@@ -188,6 +192,8 @@
     proven: Vec<Time>,
     notes: Vec<Note>,
     is_leaving: bool,
+    mix: Mix,
+    budgets: Vec<[Option<Budget>; budget::CLASSES]>,
 }
 
 impl Path {
@@ -209,6 +215,8 @@
             proven: Vec::new(),
             notes: Vec::new(),
             is_leaving: false,
+            mix: Mix::default(),
+            budgets: Vec::new(),
         }
     }
 
@@ -366,7 +374,7 @@
         if !place.present {
             return Verdict::Refuse(Refusal::Dropped);
         }
-        let (class, rank) = (place.class, place.rank);
+        let class = place.class;
         let key = Key::of(packet.client, packet.address);
         let service = pick(&place.shares, key);
         let mut avoid = None;
@@ -379,7 +387,7 @@
             }
             self.unanswered(now, packet, key, flow.target);
         }
-        self.place(now, key, service, class, rank, copy, avoid)
+        self.place(now, key, service, class, copy, avoid)
     }
 
     fn unanswered(&mut self, now: Time, packet: &Packet, key: Key, target: usize) {
@@ -400,17 +408,19 @@
         key: Key,
         service: usize,
         class: Class,
-        rank: Rank,
         copy: u32,
         avoid: Option<usize>,
     ) -> Verdict {
-        let trial = if rank == Rank::Urgent || copy > 0 { None } else { self.trial(now, service) };
+        self.mix.note(service, class.priority);
+        let standing = self.mix.standing(service, class.priority);
+        let may_try = copy == 0 && self.mix.is_least(service, class.priority);
+        let trial = if may_try { self.trial(now, service) } else { None };
         let passed = COPY_SENT_MS[(copy as usize).min(COPY_SENT_MS.len() - 1)];
         let mean_ms = self.loads.mean_ms(service);
         let left_ms = class.objective_ms.saturating_sub(passed) as f32;
         let demand = Demand {
             objective_ms: if left_ms < mean_ms { class.objective_ms as f32 } else { left_ms },
-            rank,
+            standing,
             is_late: left_ms < mean_ms,
             mean_ms,
         };
@@ -420,11 +430,16 @@
             Some(target) => Choice::Target(target),
             None => self.settings.place.choose(&demand, &candidates, &mut self.random),
         };
+        let choice = match choice {
+            Choice::Busy(target) if self.is_granted(service, &demand, &candidates) => Choice::Target(target),
+            other => other,
+        };
         let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
         let is_sample = copy == 0 && found.is_some_and(|candidate| candidate.open < candidate.slots);
         self.candidates = candidates;
         match choice {
             Choice::Empty => Verdict::Wait(Unknown::Targets),
+            Choice::Busy(_) => Verdict::Refuse(Refusal::Spent),
             Choice::Full { wait_ms, limit_ms } => Verdict::Refuse(Refusal::Full { wait_ms, limit_ms }),
             Choice::Target(index) => {
                 let Some(target) = self.catalog.target(index) else {
@@ -440,6 +455,19 @@
         }
     }
 
+    /// Takes one flow out of the budget of its class for this round.
+    fn is_granted(&mut self, service: usize, demand: &Demand, candidates: &[Candidate]) -> bool {
+        if self.budgets.len() <= service {
+            self.budgets.resize(service + 1, Default::default());
+        }
+        let instances = self.loads.peers() + 1;
+        let place = &self.settings.place;
+        let slot = &mut self.budgets[service][budget::index(demand.standing, demand.is_late)];
+        let limit = |candidate: &Candidate| place.most_open(demand, candidate);
+        let budget = slot.get_or_insert_with(|| Budget::new(candidates, limit, instances));
+        budget.take(&mut self.random)
+    }
+
     /// Target that is left alone and due for a trial. It must have shown a sign of
     /// life since it was tried last.
     fn trial(&mut self, now: Time, service: usize) -> Option<usize> {
@@ -497,6 +525,8 @@
             }
         }
         self.loads.expire(now);
+        self.mix.tick(now);
+        self.budgets.fill(Default::default());
         self.peers.forget(now);
         self.dark = self.peers.dark_zones(&self.settings.zone, now);
         self.catalog.forget(now, self.settings.flow_life_ms);
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -19,16 +19,16 @@
 
 use rand::{Rng, RngExt};
 
-use super::catalog::Rank;
-
 /// Limits of placing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
     /// Wait for a slot that the most urgent class may expect, as a share of its
     /// latency objective.
     pub urgent_wait: f32,
-    /// The same for other classes.
+    /// The same for the least urgent class; others lie in between.
     pub other_wait: f32,
+    /// The same for requests whose objective has passed.
+    pub late_wait: f32,
     /// Expected times that differ by less count as equal, in milliseconds.
     pub tie_ms: f32,
     /// Work at a target that has just started takes so many times as long.
@@ -40,7 +40,14 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { urgent_wait: 0.5, other_wait: 0.25, tie_ms: 5.0, cold_factor: 1.6, far_ms: 1.0 }
+        Settings {
+            urgent_wait: 0.5,
+            other_wait: 0.25,
+            late_wait: 0.12,
+            tie_ms: 5.0,
+            cold_factor: 1.6,
+            far_ms: 1.0,
+        }
     }
 }
 
@@ -49,8 +56,8 @@
 pub struct Demand {
     /// Latency objective, in milliseconds.
     pub objective_ms: f32,
-    /// Rank of its class.
-    pub rank: Rank,
+    /// Standing of its class: one for the most urgent, zero for the least urgent.
+    pub standing: f32,
     /// Whether its objective has passed already.
     pub is_late: bool,
     /// Mean time of a request, in milliseconds.
@@ -81,6 +88,8 @@
 pub enum Choice {
     /// It goes to a target.
     Target(usize),
+    /// It goes to a target on which it would wait, if the budget allows it.
+    Busy(usize),
     /// Its wait would be too long.
     Full {
         /// Shortest wait, in milliseconds.
@@ -103,18 +112,27 @@
 impl Settings {
     /// Longest wait for a slot, in milliseconds.
     pub fn limit_ms(&self, demand: &Demand) -> f32 {
-        let share = match demand {
-            Demand { is_late: true, .. } => self.other_wait * 0.5,
-            Demand { rank: Rank::Urgent | Rank::Only, .. } => self.urgent_wait,
-            _ => self.other_wait,
+        let share = match demand.is_late {
+            true => self.late_wait,
+            false => self.other_wait + demand.standing * (self.urgent_wait - self.other_wait),
         };
         share * demand.objective_ms
     }
 
-    fn estimate(&self, demand: &Demand, candidate: &Candidate) -> Estimate {
+    /// Open flows at which a target makes a flow wait as long as its class may.
+    pub fn most_open(&self, demand: &Demand, candidate: &Candidate) -> f32 {
+        let factor = self.factor(candidate);
+        candidate.slots * (1.0 + self.limit_ms(demand) / (demand.mean_ms * factor))
+    }
+
+    /// Time of work at a target as a multiple of its service's mean.
+    fn factor(&self, candidate: &Candidate) -> f32 {
         let cold = if candidate.is_cold { self.cold_factor } else { 1.0 };
-        let factor = cold * candidate.slowness.max(0.5);
-        let work_ms = demand.mean_ms * factor;
+        cold * candidate.slowness.max(0.5)
+    }
+
+    fn estimate(&self, demand: &Demand, candidate: &Candidate) -> Estimate {
+        let work_ms = demand.mean_ms * self.factor(candidate);
         let free = candidate.slots - candidate.open;
         let ahead = (1.0 - free).max(0.0);
         let wait_ms = ahead * work_ms / candidate.slots;
@@ -137,7 +155,8 @@
             return Choice::Full { wait_ms: best.wait_ms, limit_ms };
         }
         let equals = estimates.filter(|estimate| estimate.total_ms <= best.total_ms + self.tie_ms);
-        Choice::Target(draw(equals, random).unwrap_or(best.target))
+        let target = draw(equals, random).unwrap_or(best.target);
+        if best.free >= 1.0 { Choice::Target(target) } else { Choice::Busy(target) }
     }
 }
 
