--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -17,7 +17,7 @@
 const BATCH: usize = 32;
 
 /// Time between ticks of the path.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(10);
 
 /// Most packets that wait to be judged: what arrives within a client's first wait.
 const MAX_PARKED: usize = 2_048;
@@ -39,7 +39,7 @@
 struct Parked {
     packet: Packet,
     bytes: Vec<u8>,
-    until: Time,
+    arrived: Time,
 }
 
 /// Reads and judges packets until the process ends.
@@ -68,26 +68,37 @@
 
 fn judge(shared: &Shared, parked: &RefCell<Vec<Parked>>, packet: Packet, bytes: &[u8], out: &mut Vec<u8>) {
     let now = now();
-    let verdict = shared.path.borrow_mut().receive(now, &packet);
-    let Verdict::Wait(unknown) = verdict else {
-        act(shared, &packet, bytes, verdict, out);
+    let mut parked = parked.borrow_mut();
+    if replace_copy(&mut parked, &packet, bytes, now) {
         return;
+    }
+    let verdict = shared.path.borrow_mut().receive(now, &packet);
+    let patience = match verdict {
+        Verdict::Hold => u64::MAX,
+        Verdict::Wait(unknown) => patience_ms(unknown),
+        _ => return act(shared, &packet, bytes, verdict, out),
     };
-    let patience = patience_ms(unknown);
-    let mut parked = parked.borrow_mut();
     if patience == 0 || parked.len() >= MAX_PARKED {
         add(&shared.counts.dropped);
         return;
     }
-    if matches!(packet.kind, Kind::Open { copy } if copy > 0) {
-        // One of the copies is enough.
-        let same = |other: &Parked| other.packet.client == packet.client;
-        if parked.iter().any(same) {
-            return;
-        }
-    }
     add(&shared.counts.parked);
-    parked.push(Parked { packet, bytes: bytes.to_vec(), until: now + patience });
+    parked.push(Parked { packet, bytes: bytes.to_vec(), arrived: now });
+}
+
+/// Puts a copy in place of the opening packet of the same flow that waits, if one
+/// does.
+fn replace_copy(parked: &mut [Parked], packet: &Packet, bytes: &[u8], now: Time) -> bool {
+    if !matches!(packet.kind, Kind::Open { copy } if copy > 0) {
+        return false;
+    }
+    let same =
+        |other: &&mut Parked| other.packet.client == packet.client && other.packet.address == packet.address;
+    let Some(item) = parked.iter_mut().find(same) else {
+        return false;
+    };
+    *item = Parked { packet: *packet, bytes: bytes.to_vec(), arrived: now };
+    true
 }
 
 fn act(shared: &Shared, packet: &Packet, bytes: &[u8], verdict: Verdict, out: &mut Vec<u8>) {
@@ -108,7 +119,7 @@
             }
             refuse(shared, packet);
         }
-        Verdict::Drop(_) | Verdict::Wait(_) => add(&shared.counts.dropped),
+        Verdict::Drop(_) | Verdict::Wait(_) | Verdict::Hold => add(&shared.counts.dropped),
     }
 }
 
@@ -145,9 +156,12 @@
     let waiting = std::mem::take(&mut *parked.borrow_mut());
     for item in waiting {
         let now = now();
-        let verdict = shared.path.borrow_mut().receive(now, &item.packet);
+        let verdict = shared.path.borrow_mut().judge(now, &item.packet, item.arrived);
         match verdict {
-            Verdict::Wait(_) if now < item.until => parked.borrow_mut().push(item),
+            Verdict::Hold => parked.borrow_mut().push(item),
+            Verdict::Wait(unknown) if now.since(item.arrived) < patience_ms(unknown) => {
+                parked.borrow_mut().push(item);
+            }
             Verdict::Wait(unknown) => give_up(shared, &item.packet, unknown),
             _ => act(shared, &item.packet, &item.bytes, verdict, out),
         }
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -48,6 +48,14 @@
 /// as clients of the platform do.
 const COPY_SENT_MS: [u64; 3] = [0, 200, 600];
 
+/// Part of the latency objective for which an opening packet is held before it is
+/// refused: with two retries of the client, a quarter of the objective in all.
+const HOLD_SHARE: f32 = 1.0 / 12.0;
+
+/// Time for which an opening packet is held if its objective has passed, in
+/// milliseconds: until the client's next copy takes its place.
+const HOLD_LATE_MS: u64 = 400;
+
 /// Time for which former knowledge is not used after a pause, in milliseconds;
 /// after that nobody can be reached who knows more.
 const DISTRUST_MS: u64 = 300;
@@ -145,6 +153,22 @@
     Drop(Loss),
     /// Keep it until more is known, or drop it.
     Wait(Unknown),
+    /// Keep it and ask again soon: no slot is free yet, and there is still time.
+    Hold,
+}
+
+/// Opening packet that is to be placed.
+#[derive(Clone, Copy, Debug)]
+struct Opening {
+    key: Key,
+    service: usize,
+    class: Class,
+    /// Earlier copies that the client has sent.
+    copy: u32,
+    /// Target that did not answer an earlier copy.
+    avoid: Option<usize>,
+    /// When it came here.
+    arrived: Time,
 }
 
 /// What happened that is worth a log line.
@@ -265,13 +289,18 @@
         !self.is_leaving && self.peers.is_reader(&self.settings.name, &self.settings.zone, now)
     }
 
-    /// Judges a packet.
+    /// Judges a packet that has just arrived.
     pub fn receive(&mut self, now: Time, packet: &Packet) -> Verdict {
+        self.judge(now, packet, now)
+    }
+
+    /// Judges a packet that has waited or was held since it arrived.
+    pub fn judge(&mut self, now: Time, packet: &Packet, arrived: Time) -> Verdict {
         if self.ticked.is_some_and(|ticked| now.since(ticked) >= PAUSE_MS) {
             self.tick(now);
         }
         match packet.kind {
-            Kind::Open { copy } => self.open(now, packet, copy),
+            Kind::Open { copy } => self.open(now, packet, copy, arrived),
             _ => self.follow(now, packet),
         }
     }
@@ -361,7 +390,7 @@
         bound.clamp(FLOW_BOUND_MS.0, FLOW_BOUND_MS.1) as u64
     }
 
-    fn open(&mut self, now: Time, packet: &Packet, copy: u32) -> Verdict {
+    fn open(&mut self, now: Time, packet: &Packet, copy: u32, arrived: Time) -> Verdict {
         if self.catalog.plan().version == 0 {
             return Verdict::Wait(Unknown::Plan);
         }
@@ -387,7 +416,7 @@
             }
             self.unanswered(now, packet, key, flow.target);
         }
-        self.place(now, key, service, class, copy, avoid)
+        self.place(now, &Opening { key, service, class, copy, avoid, arrived })
     }
 
     fn unanswered(&mut self, now: Time, packet: &Packet, key: Key, target: usize) {
@@ -401,60 +430,73 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn place(
-        &mut self,
-        now: Time,
-        key: Key,
-        service: usize,
-        class: Class,
-        copy: u32,
-        avoid: Option<usize>,
-    ) -> Verdict {
-        self.mix.note(service, class.priority);
-        let standing = self.mix.standing(service, class.priority);
-        let may_try = copy == 0 && self.mix.is_least(service, class.priority);
-        let trial = if may_try { self.trial(now, service) } else { None };
-        let passed = COPY_SENT_MS[(copy as usize).min(COPY_SENT_MS.len() - 1)];
-        let mean_ms = self.loads.mean_ms(service);
-        let left_ms = class.objective_ms.saturating_sub(passed) as f32;
-        let demand = Demand {
-            objective_ms: if left_ms < mean_ms { class.objective_ms as f32 } else { left_ms },
-            standing,
-            is_late: left_ms < mean_ms,
-            mean_ms,
-        };
+    fn place(&mut self, now: Time, opening: &Opening) -> Verdict {
+        let Opening { service, class, .. } = *opening;
+        if now == opening.arrived {
+            self.mix.note(service, class.priority);
+        }
+        let demand = self.demand(now, opening);
         let mut candidates = std::mem::take(&mut self.candidates);
-        self.list(now, service, avoid, &mut candidates);
-        let choice = match trial {
-            Some(target) => Choice::Target(target),
-            None => self.settings.place.choose(&demand, &candidates, &mut self.random),
-        };
-        let choice = match choice {
-            Choice::Busy(target) if self.is_granted(service, &demand, &candidates) => Choice::Target(target),
-            other => other,
-        };
+        self.list(now, service, opening.avoid, &mut candidates);
+        let choice = self.choose(now, opening, &demand, &candidates);
         let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
-        let is_sample = copy == 0 && found.is_some_and(|candidate| candidate.open < candidate.slots);
+        let is_idle = found.is_some_and(|candidate| candidate.open < candidate.slots);
         self.candidates = candidates;
         match choice {
+            Choice::Target(index) => self.send(now, opening, index, is_idle),
             Choice::Empty => Verdict::Wait(Unknown::Targets),
+            _ if now.since(opening.arrived) < hold_ms(&demand) => Verdict::Hold,
             Choice::Busy(_) => Verdict::Refuse(Refusal::Spent),
             Choice::Full { wait_ms, limit_ms } => Verdict::Refuse(Refusal::Full { wait_ms, limit_ms }),
-            Choice::Target(index) => {
-                let Some(target) = self.catalog.target(index) else {
-                    return Verdict::Wait(Unknown::Targets);
-                };
-                let way = way(index, target);
-                let expires = now + self.flow_bound_ms(service);
-                let flow =
-                    Flow { target: index, opened: now, active: now, is_open: false, is_sample, expires };
-                self.start(key, flow);
-                Verdict::Forward(way)
+        }
+    }
+
+    fn demand(&self, now: Time, opening: &Opening) -> Demand {
+        let Opening { service, class, copy, arrived, .. } = *opening;
+        let sent = COPY_SENT_MS[(copy as usize).min(COPY_SENT_MS.len() - 1)];
+        let passed_ms = sent + now.since(arrived);
+        let left_ms = class.objective_ms.saturating_sub(passed_ms) as f32;
+        let mean_ms = self.loads.mean_ms(service);
+        Demand {
+            objective_ms: class.objective_ms as f32,
+            standing: self.mix.standing(service, class.priority),
+            is_late: left_ms < mean_ms,
+            mean_ms,
+        }
+    }
+
+    fn choose(&mut self, now: Time, opening: &Opening, demand: &Demand, candidates: &[Candidate]) -> Choice {
+        let may_try = opening.copy == 0 && self.mix.is_least(opening.service, opening.class.priority);
+        if may_try && let Some(target) = self.trial(now, opening.service) {
+            return Choice::Target(target);
+        }
+        match self.settings.place.choose(demand, candidates, &mut self.random) {
+            Choice::Busy(target) if self.is_granted(opening.service, demand, candidates) => {
+                Choice::Target(target)
             }
+            choice => choice,
         }
     }
 
+    fn send(&mut self, now: Time, opening: &Opening, index: usize, is_idle: bool) -> Verdict {
+        let Some(target) = self.catalog.target(index) else {
+            return Verdict::Wait(Unknown::Targets);
+        };
+        let way = way(index, target);
+        self.start(
+            opening.key,
+            Flow {
+                target: index,
+                opened: now,
+                active: now,
+                is_open: false,
+                is_sample: is_idle && opening.copy == 0,
+                expires: now + self.flow_bound_ms(opening.service),
+            },
+        );
+        Verdict::Forward(way)
+    }
+
     /// Takes one flow out of the budget of its class for this round.
     fn is_granted(&mut self, service: usize, demand: &Demand, candidates: &[Candidate]) -> bool {
         if self.budgets.len() <= service {
@@ -649,6 +691,11 @@
     Way { target: index, address: entry.address, number: entry.number, token: target.token }
 }
 
+/// Time for which an opening packet may be held, in milliseconds.
+fn hold_ms(demand: &Demand) -> u64 {
+    if demand.is_late { HOLD_LATE_MS } else { (demand.objective_ms * HOLD_SHARE) as u64 }
+}
+
 /// Service of a flow, by the weights of its route.
 fn pick(shares: &[(usize, u32)], key: Key) -> usize {
     let total: u64 = shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -13,8 +13,8 @@
 If it would wait longer than its class may, it is refused. Other classes may
 wait less than the most urgent one, so that under a flood the queues in front
 of slots stay short and urgent requests still meet their objective. A client's
-copy of an opening packet belongs to a request that is late already; it is
-treated like the least urgent work.
+copy of an opening packet may belong to a request that is late already; such
+requests fill only slots that would stay free.
 */
 
 use rand::{Rng, RngExt};
@@ -27,8 +27,8 @@
     pub urgent_wait: f32,
     /// The same for the least urgent class; others lie in between.
     pub other_wait: f32,
-    /// The same for requests whose objective has passed.
-    pub late_wait: f32,
+    /// Share of the slots that requests may fill whose objective has passed.
+    pub late_fill: f32,
     /// Expected times that differ by less count as equal, in milliseconds.
     pub tie_ms: f32,
     /// Work at a target that has just started takes so many times as long.
@@ -43,7 +43,7 @@
         Settings {
             urgent_wait: 0.5,
             other_wait: 0.25,
-            late_wait: 0.12,
+            late_fill: 0.8,
             tie_ms: 5.0,
             cold_factor: 1.6,
             far_ms: 1.0,
@@ -88,7 +88,8 @@
 pub enum Choice {
     /// It goes to a target.
     Target(usize),
-    /// It goes to a target on which it would wait, if the budget allows it.
+    /// It goes to a target if the budget allows it, as it would wait there or others
+    /// would wait for it.
     Busy(usize),
     /// Its wait would be too long.
     Full {
@@ -112,15 +113,18 @@
 impl Settings {
     /// Longest wait for a slot, in milliseconds.
     pub fn limit_ms(&self, demand: &Demand) -> f32 {
-        let share = match demand.is_late {
-            true => self.late_wait,
-            false => self.other_wait + demand.standing * (self.urgent_wait - self.other_wait),
-        };
+        if demand.is_late {
+            return 0.0;
+        }
+        let share = self.other_wait + demand.standing * (self.urgent_wait - self.other_wait);
         share * demand.objective_ms
     }
 
     /// Open flows at which a target makes a flow wait as long as its class may.
     pub fn most_open(&self, demand: &Demand, candidate: &Candidate) -> f32 {
+        if demand.is_late {
+            return candidate.slots * self.late_fill;
+        }
         let factor = self.factor(candidate);
         candidate.slots * (1.0 + self.limit_ms(demand) / (demand.mean_ms * factor))
     }
@@ -156,7 +160,8 @@
         }
         let equals = estimates.filter(|estimate| estimate.total_ms <= best.total_ms + self.tie_ms);
         let target = draw(equals, random).unwrap_or(best.target);
-        if best.free >= 1.0 { Choice::Target(target) } else { Choice::Busy(target) }
+        let waits = best.free < 1.0;
+        if waits || demand.is_late { Choice::Busy(target) } else { Choice::Target(target) }
     }
 }
 
