--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -138,6 +138,7 @@
         .collect();
     let absent =
         shared.path.borrow().catalog().absent(&present, reading.revision, follower.is_in_trouble(now));
+    log::info!("E745 read {} targets at revision {}", present.len(), reading.revision);
     take_with(shared, follower, reading, absent);
 }
 
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -610,7 +610,10 @@
                 self.doubts.reset(index);
             }
         }
-        self.notes.push(Note::Target { target: name, state, revision });
+        // The first reading is told as a whole.
+        if self.catalog.revision() > 0 {
+            self.notes.push(Note::Target { target: name, state, revision });
+        }
         true
     }
 
