--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -5,7 +5,7 @@
 use ragwortlb::{
     relay::{
         Kind, Packet,
-        path::{Unknown, Verdict},
+        path::{Refusal, Unknown, Verdict},
     },
     time::Time,
 };
@@ -112,11 +112,13 @@
             send(shared, out, way.address);
         }
         Verdict::Refuse(refusal) => {
-            use ragwortlb::relay::path::Refusal;
             match refusal {
                 Refusal::Full { .. } | Refusal::Spent => add(&shared.counts.refused_full),
                 Refusal::Dropped => add(&shared.counts.refused_dropped),
             }
+            if shared.refusals.take() {
+                log::info!("E721 refused {} to {}: {refusal}", packet.client, packet.address);
+            }
             refuse(shared, packet);
         }
         Verdict::Drop(_) | Verdict::Wait(_) | Verdict::Hold => add(&shared.counts.dropped),
@@ -145,6 +147,7 @@
             () = shared.learned.notified() => {}
         }
         shared.log_notes();
+        shared.refusals.refill(now());
         if !parked.borrow().is_empty() {
             retry(&shared, &parked, &mut out);
         }
@@ -154,7 +157,8 @@
 /// Judges again what waits.
 fn retry(shared: &Shared, parked: &RefCell<Vec<Parked>>, out: &mut Vec<u8>) {
     let waiting = std::mem::take(&mut *parked.borrow_mut());
-    for item in waiting {
+    // The latest first: it is the likeliest to meet its objective.
+    for item in waiting.into_iter().rev() {
         let now = now();
         let verdict = shared.path.borrow_mut().judge(now, &item.packet, item.arrived);
         match verdict {
@@ -166,6 +170,7 @@
             _ => act(shared, &item.packet, &item.bytes, verdict, out),
         }
     }
+    parked.borrow_mut().reverse();
 }
 
 fn give_up(shared: &Shared, packet: &Packet, unknown: Unknown) {
@@ -173,6 +178,9 @@
     match unknown {
         Unknown::Route | Unknown::Targets if opens => {
             add(&shared.counts.refused_unknown);
+            if shared.refusals.take() {
+                log::info!("E722 refused {} to {}: no {unknown:?} known", packet.client, packet.address);
+            }
             refuse(shared, packet);
         }
         _ => add(&shared.counts.dropped),
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -43,6 +43,39 @@
     count.set(count.get() + 1);
 }
 
+/// Lines a second for refusals: a flood refuses many thousands.
+const REFUSAL_LINES_PER_S: u64 = 20;
+
+/// Lines that one kind of event may still write in this second.
+#[derive(Debug, Default)]
+pub(super) struct Lines {
+    second: Cell<u64>,
+    written: Cell<u64>,
+    left_out: Cell<u64>,
+}
+
+impl Lines {
+    /// Reports whether one more line may be written.
+    pub fn take(&self) -> bool {
+        let allowed = self.written.get() < REFUSAL_LINES_PER_S;
+        add(if allowed { &self.written } else { &self.left_out });
+        allowed
+    }
+
+    /// Starts the next second, and tells how many lines the last one left out.
+    pub fn refill(&self, now: Time) {
+        let second = now.0 / 1_000;
+        if second == self.second.replace(second) {
+            return;
+        }
+        self.written.set(0);
+        match self.left_out.replace(0) {
+            0 => {}
+            count => log::info!("E723 left out {count} lines on refusals"),
+        }
+    }
+}
+
 /// State of one instance.
 pub(super) struct Shared {
     pub settings: Settings,
@@ -50,6 +83,7 @@
     pub packets: UdpSocket,
     pub news: UdpSocket,
     pub counts: Counts,
+    pub refusals: Lines,
     /// Told when packets that wait can be judged again.
     pub learned: Notify,
 }
@@ -67,7 +101,15 @@
         });
         let path = RefCell::new(path);
         let counts = Counts::default();
-        Ok(Rc::new(Shared { settings, path, packets, news, counts, learned: Notify::new() }))
+        Ok(Rc::new(Shared {
+            settings,
+            path,
+            packets,
+            news,
+            counts,
+            refusals: Lines::default(),
+            learned: Notify::new(),
+        }))
     }
 
     /// Address of another instance for news.
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -7,7 +7,7 @@
 given back as [`Verdict::Wait`], and the caller asks again when more is known.
 */
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{fmt, net::SocketAddrV4, sync::Arc};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -56,6 +56,9 @@
 /// milliseconds: until the client's next copy takes its place.
 const HOLD_LATE_MS: u64 = 400;
 
+/// Time after a start within which peers may start too, in milliseconds.
+const YOUNG_MS: u64 = 2_000;
+
 /// Time for which former knowledge is not used after a pause, in milliseconds;
 /// after that nobody can be reached who knows more.
 const DISTRUST_MS: u64 = 300;
@@ -118,6 +121,18 @@
     },
 }
 
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Dropped => f.write_str("the plan dropped the route"),
+            Refusal::Spent => f.write_str("this instance's part of the room is used up"),
+            Refusal::Full { wait_ms, limit_ms } => {
+                write!(f, "shortest wait {wait_ms:.0} ms, longest allowed {limit_ms:.0} ms")
+            }
+        }
+    }
+}
+
 /// Why a packet goes nowhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
@@ -209,6 +224,7 @@
     doubts: Doubts,
     peers: Peers,
     random: Pcg64Mcg,
+    started: Option<Time>,
     ticked: Option<Time>,
     resumed: Option<Time>,
     dark: Vec<(Arc<str>, Time)>,
@@ -232,6 +248,7 @@
             doubts: Doubts::default(),
             peers: Peers::default(),
             random,
+            started: None,
             ticked: None,
             resumed: None,
             dark: Vec::new(),
@@ -445,7 +462,7 @@
         match choice {
             Choice::Target(index) => self.send(now, opening, index, is_idle),
             Choice::Empty => Verdict::Wait(Unknown::Targets),
-            _ if now.since(opening.arrived) < hold_ms(&demand) => Verdict::Hold,
+            _ if now.since(opening.arrived) < self.hold_ms(now, &demand) => Verdict::Hold,
             Choice::Busy(_) => Verdict::Refuse(Refusal::Spent),
             Choice::Full { wait_ms, limit_ms } => Verdict::Refuse(Refusal::Full { wait_ms, limit_ms }),
         }
@@ -471,7 +488,7 @@
             return Choice::Target(target);
         }
         match self.settings.place.choose(demand, candidates, &mut self.random) {
-            Choice::Busy(target) if self.is_granted(opening.service, demand, candidates) => {
+            Choice::Busy(target) if self.is_granted(now, opening.service, demand, candidates) => {
                 Choice::Target(target)
             }
             choice => choice,
@@ -498,11 +515,11 @@
     }
 
     /// Takes one flow out of the budget of its class for this round.
-    fn is_granted(&mut self, service: usize, demand: &Demand, candidates: &[Candidate]) -> bool {
+    fn is_granted(&mut self, now: Time, service: usize, demand: &Demand, candidates: &[Candidate]) -> bool {
         if self.budgets.len() <= service {
             self.budgets.resize(service + 1, Default::default());
         }
-        let instances = self.loads.peers() + 1;
+        let instances = self.instances(now);
         let place = &self.settings.place;
         let slot = &mut self.budgets[service][budget::index(demand.standing, demand.is_late)];
         let limit = |candidate: &Candidate| place.most_open(demand, candidate);
@@ -510,6 +527,27 @@
         budget.take(&mut self.random)
     }
 
+    /// Time for which an opening packet may be held, in milliseconds. Clients that come
+    /// back after an outage are more than the targets can serve at once, but not for
+    /// long.
+    fn hold_ms(&self, now: Time, demand: &Demand) -> u64 {
+        match demand.is_late || self.is_young(now) {
+            true => HOLD_LATE_MS,
+            false => (demand.objective_ms * HOLD_SHARE) as u64,
+        }
+    }
+
+    fn is_young(&self, now: Time) -> bool {
+        self.started.is_none_or(|started| now.since(started) < YOUNG_MS)
+    }
+
+    /// Instances that place flows, as far as is known. Soon after a start peers may be
+    /// there that have not reported yet.
+    fn instances(&self, now: Time) -> usize {
+        let known = if self.is_young(now) { self.peers.rows().count() } else { 0 };
+        known.max(self.loads.peers()) + 1
+    }
+
     /// Target that is left alone and due for a trial. It must have shown a sign of
     /// life since it was tried last.
     fn trial(&mut self, now: Time, service: usize) -> Option<usize> {
@@ -556,6 +594,7 @@
     pub fn tick(&mut self, now: Time) {
         let gap_ms = self.ticked.map_or(0, |ticked| now.since(ticked));
         self.ticked = Some(now);
+        self.started.get_or_insert(now);
         if gap_ms >= PAUSE_MS {
             self.resume(now, gap_ms);
         }
@@ -570,10 +609,25 @@
         self.mix.tick(now);
         self.budgets.fill(Default::default());
         self.peers.forget(now);
-        self.dark = self.peers.dark_zones(&self.settings.zone, now);
+        self.look_at_zones(now);
         self.catalog.forget(now, self.settings.flow_life_ms);
     }
 
+    /// Notes which availability zones are cut off. What was held against targets of one
+    /// that is back no longer counts.
+    fn look_at_zones(&mut self, now: Time) {
+        let dark = self.peers.dark_zones(&self.settings.zone, now);
+        let back = |zone: &Arc<str>| {
+            self.dark.iter().any(|(former, _)| former == zone) && !dark.iter().any(|(now, _)| now == zone)
+        };
+        for index in 0..self.catalog.size() {
+            if self.catalog.target(index).is_some_and(|target| back(&target.row.entry.zone)) {
+                self.doubts.reset(index);
+            }
+        }
+        self.dark = dark;
+    }
+
     fn resume(&mut self, now: Time, gap_ms: u64) {
         self.notes.push(Note::Paused { gap_ms });
         self.flows.clear();
@@ -694,11 +748,6 @@
     Way { target: index, address: entry.address, number: entry.number, token: target.token }
 }
 
-/// Time for which an opening packet may be held, in milliseconds.
-fn hold_ms(demand: &Demand) -> u64 {
-    if demand.is_late { HOLD_LATE_MS } else { (demand.objective_ms * HOLD_SHARE) as u64 }
-}
-
 /// Service of a flow, by the weights of its route.
 fn pick(shares: &[(usize, u32)], key: Key) -> usize {
     let total: u64 = shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
