Tell instances who is there, and count flows until their end is seen

Cause: only readers of the store see instances that register after them, so in some starts most instances heard one peer of six and shared out the room alone.

--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -7,9 +7,10 @@
 };
 
 use ragwortlb::{
-    relay::news::{self, Frame, News, Rows},
+    relay::news::{self, Frame, Member, News, Rows},
     time::Time,
 };
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use super::shared::{Shared, add, now};
 
@@ -48,7 +49,8 @@
     };
     let now = now();
     let mut path = shared.path.borrow_mut();
-    if path.peers_mut().hear(&frame.sender, &frame.zone, from, now) {
+    let is_new = path.peers_mut().hear(&frame.sender, &frame.zone, from, now);
+    if is_new {
         log::info!("E731 peer {} in {} is there", frame.sender, frame.zone);
     }
     match frame.news {
@@ -65,6 +67,31 @@
                 shared.learned.notify_one();
             }
         }
+        News::Members(members) => {
+            for member in members.into_iter().filter(|member| member.name != shared.settings.name) {
+                path.peers_mut().meet(&member.name, &member.zone, member.address, now);
+            }
+        }
+    }
+    drop(path);
+    if is_new {
+        introduce(shared, from, now);
+    }
+}
+
+/// Tells a peer some of the others.
+fn introduce(shared: &Shared, to: SocketAddrV4, now: Time) {
+    let path = shared.path.borrow();
+    let mut members: Vec<Member> = path
+        .peers()
+        .live(now)
+        .filter(|row| row.address != to)
+        .map(|row| Member { name: row.name.clone(), zone: row.zone.clone(), address: row.address })
+        .collect();
+    members.shuffle(&mut rand::rng());
+    members.truncate(news::MAX_MEMBERS);
+    if !members.is_empty() {
+        post(shared, &frame(shared, News::Members(members)), to);
     }
 }
 
@@ -81,9 +108,17 @@
             knocked = now;
         }
         report(&shared, now, knocks);
+        if knocks && let Some(peer) = any_peer(&shared, now) {
+            introduce(&shared, peer, now);
+        }
     }
 }
 
+fn any_peer(shared: &Shared, now: Time) -> Option<SocketAddrV4> {
+    let path = shared.path.borrow();
+    path.peers().live(now).map(|row| row.address).choose(&mut rand::rng())
+}
+
 fn report(shared: &Shared, now: Time, knocks: bool) {
     let path = shared.path.borrow();
     let bytes = frame(shared, News::Report(path.report()));
--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -4,9 +4,11 @@
 
 The table counts work and routes nothing: a packet after the first goes where
 its token says. So a record may be lost without harm, and must not outlive its
-flow by much. When the fabric moves flows to other instances, their ends are not
-seen here; a record expires after a bound that follows from how long flows of
-its target take.
+flow by much. When the fabric moves flows to other instances, their ends are seen
+there and not here. [`Shift`] notices that, as ends of flows are then seen that
+were not placed here; the records of that time are kept for the usual time of a
+flow only. Otherwise a record lasts until the end is seen, as a queue that grows
+makes flows take longer and must not make them vanish from the count.
 */
 
 use std::{collections::HashMap, net::SocketAddrV4};
@@ -92,6 +94,13 @@
             .collect()
     }
 
+    /// Lets no record that exists now count beyond a time.
+    pub fn shorten(&mut self, limit: Time) {
+        for flow in self.table.values_mut() {
+            flow.expires = flow.expires.min(limit);
+        }
+    }
+
     /// Ends all records, as after a pause.
     pub fn clear(&mut self) {
         self.table.clear();
@@ -107,3 +116,37 @@
         self.table.is_empty()
     }
 }
+
+/// Ends in a row of time slices that show whether the fabric has moved flows.
+#[derive(Clone, Debug, Default)]
+pub struct Shift {
+    since: Time,
+    own: u32,
+    foreign: u32,
+}
+
+/// Length of a time slice, in milliseconds.
+const SLICE_MS: u64 = 100;
+
+/// Fewest foreign ends in a slice that count as a move.
+const LEAST_FOREIGN: u32 = 3;
+
+impl Shift {
+    /// Notes the end of a flow, and whether it was placed here.
+    pub fn note(&mut self, is_own: bool) {
+        match is_own {
+            true => self.own += 1,
+            false => self.foreign += 1,
+        }
+    }
+
+    /// Reports at the end of a slice whether flows were moved in it.
+    pub fn tick(&mut self, now: Time) -> bool {
+        if now.since(self.since) < SLICE_MS {
+            return false;
+        }
+        let moved = self.foreign >= LEAST_FOREIGN && 2 * self.foreign > self.own;
+        *self = Shift { since: now, ..Shift::default() };
+        moved
+    }
+}
--- a/src/relay/news.rs
+++ b/src/relay/news.rs
@@ -2,8 +2,9 @@
 What instances tell each other on the packet path, and its bytes.
 
 A report says how many flows the sender has open at each target, many times a
-second; rows pass on what a reader of the store has learned. Both fit into one
-datagram each, may be lost, and are checked when they are read. Who lacks rows
+second; rows pass on what a reader of the store has learned; members pass on who
+is there, as only readers see instances that register later. Each message fits
+into one datagram, may be lost, and is checked when it is read. Who lacks rows
 fetches a [`Snapshot`].
 
 # Example
@@ -18,7 +19,7 @@
 ```
 */
 
-use std::sync::Arc;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -75,6 +76,21 @@
     pub rows: Vec<Row>,
 }
 
+/// Instance as others know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Member {
+    /// Name.
+    pub name: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Address for news.
+    pub address: SocketAddrV4,
+}
+
+/// Most members in one message, so that it fits into a datagram.
+pub const MAX_MEMBERS: usize = 24;
+
 /// Message of an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -83,6 +99,8 @@
     Report(Report),
     /// What changed in the store.
     Rows(Rows),
+    /// Some of the instances that the sender hears.
+    Members(Vec<Member>),
 }
 
 /// Message with its sender.
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -17,7 +17,7 @@
     budget::{self, Budget},
     catalog::{Catalog, Change, Row, State, Target},
     doubt::Doubts,
-    flows::{Flow, Flows, Key},
+    flows::{Flow, Flows, Key, Shift},
     load::{self, Loads},
     mix::Mix,
     news::{Load, Report, Rows, Snapshot},
@@ -34,15 +34,17 @@
 /// in milliseconds. Clients send the first copy after 200.
 const COPY_GAP_MS: u64 = 150;
 
-/// Time after which a flow whose client did not go on was refused by its target,
-/// in milliseconds: the first copy would have come by then.
-const SILENT_OPEN_MS: u64 = 300;
+/// Time for which a flow counts whose client has not gone on, in milliseconds. The
+/// client's next copy comes within 400; without one the target has refused the flow.
+const OPEN_BOUND_MS: u64 = 450;
 
-/// Bound of a flow's time as a multiple of its service's mean.
-const FLOW_BOUND_MEANS: f32 = 4.0;
+/// Time for which a flow counts if its end is not seen, in milliseconds: longer than
+/// any queue that a target keeps.
+const FLOW_BOUND_MS: u64 = 2_000;
 
-/// Least and greatest bound of a flow's time, in milliseconds.
-const FLOW_BOUND_MS: (f32, f32) = (300.0, 3_000.0);
+/// Time for which flows count that the fabric may have moved, as a multiple of their
+/// service's mean.
+const MOVED_MEANS: f32 = 4.0;
 
 /// Time after a client's first packet at which each copy is sent, in milliseconds,
 /// as clients of the platform do.
@@ -233,6 +235,7 @@
     notes: Vec<Note>,
     is_leaving: bool,
     mix: Mix,
+    shift: Shift,
     budgets: Vec<[Option<Budget>; budget::CLASSES]>,
 }
 
@@ -257,6 +260,7 @@
             notes: Vec::new(),
             is_leaving: false,
             mix: Mix::default(),
+            shift: Shift::default(),
             budgets: Vec::new(),
         }
     }
@@ -354,13 +358,15 @@
         match packet.kind {
             Kind::Open { .. } => {}
             Kind::Data { request } => {
-                let expires = now + self.flow_bound_ms(service);
+                let expires = now + FLOW_BOUND_MS;
                 match self.flows.get_mut(key) {
                     Some(flow) => {
                         let is_first = !flow.is_open;
                         flow.is_open = true;
                         if request {
                             flow.active = now;
+                        }
+                        if request || is_first {
                             flow.expires = expires;
                         }
                         if is_first {
@@ -375,7 +381,9 @@
                 }
             }
             Kind::Close | Kind::Abort => {
-                let Some(flow) = self.flows.remove(key) else {
+                let flow = self.flows.remove(key);
+                self.shift.note(flow.is_some());
+                let Some(flow) = flow else {
                     return;
                 };
                 self.loads.end(flow.target);
@@ -402,11 +410,6 @@
         }
     }
 
-    fn flow_bound_ms(&self, service: usize) -> u64 {
-        let bound = FLOW_BOUND_MEANS * self.loads.mean_ms(service);
-        bound.clamp(FLOW_BOUND_MS.0, FLOW_BOUND_MS.1) as u64
-    }
-
     fn open(&mut self, now: Time, packet: &Packet, copy: u32, arrived: Time) -> Verdict {
         if self.catalog.plan().version == 0 {
             return Verdict::Wait(Unknown::Plan);
@@ -508,7 +511,7 @@
                 active: now,
                 is_open: false,
                 is_sample: is_idle && opening.copy == 0,
-                expires: now + self.flow_bound_ms(opening.service),
+                expires: now + OPEN_BOUND_MS,
             },
         );
         Verdict::Forward(way)
@@ -598,10 +601,12 @@
         if gap_ms >= PAUSE_MS {
             self.resume(now, gap_ms);
         }
+        if self.shift.tick(now) {
+            self.flows.shorten(now + self.usual_flow_ms());
+        }
         for expired in self.flows.expire(now) {
             self.loads.end(expired.flow.target);
-            let silent = now.since(expired.flow.opened) >= SILENT_OPEN_MS;
-            if !expired.flow.is_open && silent {
+            if !expired.flow.is_open {
                 self.doubts.strike(expired.flow.target, now);
             }
         }
@@ -613,6 +618,12 @@
         self.catalog.forget(now, self.settings.flow_life_ms);
     }
 
+    /// Time after which a flow has usually ended, in milliseconds.
+    fn usual_flow_ms(&self) -> u64 {
+        let means = (0..self.catalog.services()).map(|service| self.loads.mean_ms(service));
+        (MOVED_MEANS * means.fold(0.0, f32::max)) as u64
+    }
+
     /// Notes which availability zones are cut off. What was held against targets of one
     /// that is back no longer counts.
     fn look_at_zones(&mut self, now: Time) {
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -73,7 +73,9 @@
             plan_version: 0,
             is_leaving: false,
         });
-        row.address = address;
+        if row.heard.is_none_or(|heard| now.since(heard) >= SILENCE_MS) {
+            row.address = address;
+        }
     }
 
     /// Notes a word from a peer; returns whether it was silent or unknown before.
@@ -82,6 +84,7 @@
         let row = self.table.get_mut(&Peers::key(name)).expect("the peer was just noted");
         let was_silent = row.heard.is_none_or(|heard| now.since(heard) >= SILENCE_MS);
         row.heard = Some(now);
+        row.address = from;
         was_silent
     }
 
