--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -13,10 +13,6 @@
 
 use super::place::Candidate;
 
-/// Share of the room that is given out in one round. Reports are up to one round
-/// old, so part of the room may be taken already.
-const ROUND_SHARE: f32 = 0.7;
-
 /// What is left to one class of one service in this round.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Budget {
@@ -32,8 +28,7 @@
             .filter(|candidate| !candidate.is_doubted)
             .map(|candidate| (limit(candidate) - candidate.open).max(0.0))
             .sum();
-        let share = if instances > 1 { ROUND_SHARE / instances as f32 } else { 1.0 };
-        Budget { left: room * share }
+        Budget { left: room / instances.max(1) as f32 }
     }
 
     /// Takes one flow out of the budget, if there is any left. The part below one is
--- /dev/null
+++ b/tests/support/relay.rs
@@ -0,0 +1,536 @@
+//! A small world around packet paths: clients that retry, a fabric that hashes,
+//! targets with slots and queues. Times are milliseconds.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+use ragwortlb::{
+    relay::{
+        Class, Entry, Kind, Packet, Plan, Route, Share, Token,
+        catalog::{Row, State},
+        path::{Path, Settings, Verdict},
+    },
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Time between client and instance or target.
+const CLIENT_MS: u64 = 3;
+
+/// Time between instance and target, and between instances.
+const NEAR_MS: u64 = 1;
+
+/// Requests that a target queues behind its slots.
+const QUEUE: usize = 12;
+
+/// Tries of a client after the first one.
+const RETRIES: u32 = 2;
+
+/// Time between reports of an instance.
+const REPORT_MS: u64 = 20;
+
+/// Time between ticks of an instance.
+const TICK_MS: u64 = 10;
+
+/// Time after which a client gives up one try.
+const TRY_MS: u64 = 1_400;
+
+/// Kind of request.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Port of its route.
+    pub port: u16,
+    /// Class in the plan.
+    pub class: Class,
+    /// Mean work.
+    pub work_ms: f64,
+    /// Requests a second.
+    pub per_s: f64,
+    /// Credit within the objective, and later.
+    pub worth: (f64, f64),
+}
+
+/// What callers got of one load.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub asked: u64,
+    pub in_aim: u64,
+    pub late: u64,
+    pub failed: u64,
+    /// Longest time from a request's start to its last refusal.
+    pub refused_after_ms: u64,
+}
+
+impl Tally {
+    /// Share of the credit that was earned.
+    pub fn credit(&self, load: &Load) -> f64 {
+        let earned = self.in_aim as f64 * load.worth.0 + self.late as f64 * load.worth.1;
+        earned / (self.asked as f64 * load.worth.0)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    load: usize,
+    sent: u64,
+    /// Whether it shows in the tallies.
+    counted: bool,
+    tries: u32,
+    client: SocketAddrV4,
+    answered: bool,
+    opened: bool,
+    target: usize,
+    work_ms: f64,
+    token: Token,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Start(usize),
+    Open { request: usize, port: u16, copy: u32 },
+    Accepted { request: usize, port: u16, target: usize, token: u32 },
+    Refused { request: usize, port: u16 },
+    GiveUp { request: usize, port: u16 },
+    Data { request: usize, port: u16 },
+    Work { request: usize, port: u16, target: usize },
+    Done { request: usize, port: u16, target: usize },
+    Answered { request: usize, port: u16, shed: bool },
+    Close { request: usize, port: u16 },
+    Tick(usize),
+    Report(usize),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Machine {
+    running: usize,
+    queue: VecDeque<(usize, u16)>,
+}
+
+struct Held {
+    packet: Packet,
+    arrived: u64,
+    request: usize,
+}
+
+/// Clients, fabric, instances and targets.
+pub struct World {
+    pub now: u64,
+    pub paths: Vec<Path>,
+    /// Instances that neither read nor send.
+    pub frozen: Vec<bool>,
+    /// Instances that the fabric uses.
+    pub rotation: Vec<usize>,
+    /// Targets that answer nothing.
+    pub dead: Vec<bool>,
+    loads: Vec<Load>,
+    tallies: Vec<Tally>,
+    slots: usize,
+    machines: Vec<Machine>,
+    requests: Vec<Request>,
+    held: Vec<Vec<Held>>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    next_port: u16,
+    counting: bool,
+    random: Pcg64Mcg,
+}
+
+fn entry(index: usize, slots: u32) -> Entry {
+    Entry {
+        name: format!("i-{index:08x}").into(),
+        number: index as u64 + 1,
+        born_ms: 1,
+        service: "matching".into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 3, 0, index as u8), 8080),
+        zone: ["pa", "ct", "me"][index % 3].into(),
+        slots,
+        leaving: false,
+        warm_up_ms: 0,
+        beat: 1,
+    }
+}
+
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+impl World {
+    /// World of instances in front of targets of one service.
+    pub fn new(seed: u64, instances: usize, targets: usize, slots: u32, loads: Vec<Load>) -> World {
+        let routes = loads
+            .iter()
+            .map(|load| Route {
+                address: address(load.port),
+                shares: vec![Share { service: "matching".into(), weight: 1 }],
+                class: load.class,
+            })
+            .collect();
+        let plan = Plan { version: 1, routes, idle_ms: 15_000 };
+        let paths = (0..instances).map(|index| path(index, seed, &plan, targets, slots)).collect();
+        let mut world = World {
+            now: 0,
+            paths,
+            frozen: vec![false; instances],
+            rotation: (0..instances).collect(),
+            dead: vec![false; targets],
+            tallies: vec![Tally::default(); loads.len()],
+            loads,
+            slots: slots as usize,
+            machines: vec![Machine::default(); targets],
+            requests: Vec::new(),
+            held: (0..instances).map(|_| Vec::new()).collect(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            next_port: 1_024,
+            counting: true,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for index in 0..instances {
+            world.after(1 + index as u64, Event::Tick(index));
+            world.after(2 + 2 * index as u64, Event::Report(index));
+        }
+        for load in 0..world.loads.len() {
+            world.after(1, Event::Start(load));
+        }
+        world
+    }
+
+    /// Sets the requests a second of a load.
+    pub fn set_rate(&mut self, load: usize, per_s: f64) {
+        self.loads[load].per_s = per_s;
+    }
+
+    /// Tallies of requests that start from now on.
+    pub fn reset_tallies(&mut self) {
+        self.tallies.fill(Tally::default());
+        for request in &mut self.requests {
+            request.counted = false;
+        }
+        self.counting = true;
+    }
+
+    /// Waits until the requests that count have ended; later ones do not count.
+    pub fn settle(&mut self) {
+        self.counting = false;
+        self.run_to(self.now + 3 * TRY_MS);
+    }
+
+    /// What callers of a load got.
+    pub fn tally(&self, load: usize) -> &Tally {
+        &self.tallies[load]
+    }
+
+    /// Share of all credit that was earned.
+    pub fn credit(&self) -> f64 {
+        let worth = |load: &Load, tally: &Tally| tally.asked as f64 * load.worth.0;
+        let pairs = || self.loads.iter().zip(&self.tallies);
+        let owed: f64 = pairs().map(|(load, tally)| worth(load, tally)).sum();
+        pairs().map(|(load, tally)| tally.credit(load) * worth(load, tally)).sum::<f64>() / owed
+    }
+
+    /// Share of all credit that the slots allow at most, with the worthiest work
+    /// first, for what was asked in a time.
+    pub fn bound(&self, time_ms: u64) -> f64 {
+        let density = |load: &Load| load.worth.0 / load.work_ms;
+        let mut pairs: Vec<_> = self.loads.iter().zip(&self.tallies).collect();
+        pairs.sort_by(|(a, _), (b, _)| density(b).total_cmp(&density(a)));
+        let mut left_ms = (self.machines.len() * self.slots) as f64 * time_ms as f64;
+        let (mut earned, mut owed) = (0.0, 0.0);
+        for (load, tally) in pairs {
+            let needed_ms = tally.asked as f64 * load.work_ms;
+            let share = (left_ms / needed_ms).clamp(0.0, 1.0);
+            left_ms -= share * needed_ms;
+            earned += share * tally.asked as f64 * load.worth.0;
+            owed += tally.asked as f64 * load.worth.0;
+        }
+        earned / owed
+    }
+
+    /// Plays until a time.
+    pub fn run_to(&mut self, end: u64) {
+        while let Some(Reverse((at, _, _))) = self.events.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.events.pop() else {
+                break;
+            };
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((self.now + delay, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Start(load) => self.start(load),
+            Event::Open { request, port, copy } => self.open(request, port, copy),
+            Event::Accepted { request, port, target, token } => {
+                self.accepted(request, port, target, Token(token));
+            }
+            Event::Refused { request, port } | Event::GiveUp { request, port } => {
+                self.refused(request, port);
+            }
+            Event::Data { request, port } => self.data(request, port),
+            Event::Work { request, port, target } => self.work(request, port, target),
+            Event::Done { request, port, target } => self.done(request, port, target),
+            Event::Answered { request, port, shed } => self.answered(request, port, shed),
+            Event::Close { request, port } => self.close(request, port),
+            Event::Tick(index) => self.tick(index),
+            Event::Report(index) => self.report(index),
+        }
+    }
+
+    fn start(&mut self, load: usize) {
+        let gap = -self.random.random::<f64>().max(1e-9).ln() * 1_000.0 / self.loads[load].per_s;
+        self.after(gap.round() as u64, Event::Start(load));
+        let spread = 0.5 + self.random.random::<f64>();
+        let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 0);
+        self.requests.push(Request {
+            load,
+            sent: self.now,
+            counted: self.counting,
+            tries: 0,
+            client,
+            answered: false,
+            opened: false,
+            target: 0,
+            work_ms: self.loads[load].work_ms * spread,
+            token: Token::NONE,
+        });
+        self.tallies[load].asked += u64::from(self.counting);
+        self.try_again(self.requests.len() - 1);
+    }
+
+    fn try_again(&mut self, request: usize) {
+        self.next_port = self.next_port.checked_add(1).unwrap_or(1_024);
+        let port = self.next_port;
+        // Ports come around; the address keeps flows apart.
+        let ip = Ipv4Addr::new(100, 64, (request >> 8) as u8, request as u8);
+        self.requests[request].client = SocketAddrV4::new(ip, port);
+        self.requests[request].opened = false;
+        for (copy, at) in [0, 200, 600].into_iter().enumerate() {
+            self.after(at + CLIENT_MS, Event::Open { request, port, copy: copy as u32 });
+        }
+        self.after(TRY_MS, Event::GiveUp { request, port });
+    }
+
+    fn is_current(&self, request: usize, port: u16) -> bool {
+        let request = &self.requests[request];
+        !request.answered && request.client.port() == port
+    }
+
+    fn instance(&self, request: usize) -> usize {
+        let client = self.requests[request].client;
+        let hash = u64::from(u32::from(*client.ip())).wrapping_mul(31) + u64::from(client.port());
+        self.rotation[(hash.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) as usize % self.rotation.len()]
+    }
+
+    fn packet(&self, request: usize, kind: Kind) -> Packet {
+        let Request { client, load, token, .. } = self.requests[request];
+        Packet { client, address: address(self.loads[load].port), kind, token }
+    }
+
+    fn open(&mut self, request: usize, port: u16, copy: u32) {
+        let instance = self.instance(request);
+        if !self.is_current(request, port) || self.requests[request].opened || self.frozen[instance] {
+            return;
+        }
+        let packet = Packet { token: Token::NONE, ..self.packet(request, Kind::Open { copy }) };
+        if let Some(held) = self.held[instance].iter_mut().find(|held| held.packet.client == packet.client) {
+            *held = Held { packet, arrived: self.now, request };
+            return;
+        }
+        let verdict = self.paths[instance].receive(Time(self.now), &packet);
+        self.act(instance, request, packet, self.now, verdict);
+    }
+
+    fn act(&mut self, instance: usize, request: usize, packet: Packet, arrived: u64, verdict: Verdict) {
+        let port = packet.client.port();
+        match verdict {
+            Verdict::Forward(way) if !self.dead[way.target] => {
+                let event = Event::Accepted { request, port, target: way.target, token: way.token.0 };
+                self.after(NEAR_MS + CLIENT_MS, event);
+            }
+            Verdict::Refuse(_) => self.after(CLIENT_MS, Event::Refused { request, port }),
+            Verdict::Hold => self.held[instance].push(Held { packet, arrived, request }),
+            Verdict::Forward(_) | Verdict::Drop(_) | Verdict::Wait(_) => {}
+        }
+    }
+
+    fn accepted(&mut self, request: usize, port: u16, target: usize, token: Token) {
+        if !self.is_current(request, port) || self.requests[request].opened {
+            return;
+        }
+        let state = &mut self.requests[request];
+        state.opened = true;
+        state.target = target;
+        state.token = token;
+        self.after(CLIENT_MS, Event::Data { request, port });
+    }
+
+    fn data(&mut self, request: usize, port: u16) {
+        let instance = self.instance(request);
+        if !self.is_current(request, port) || self.frozen[instance] {
+            return;
+        }
+        let packet = self.packet(request, Kind::Data { request: true });
+        let verdict = self.paths[instance].receive(Time(self.now), &packet);
+        if let Verdict::Forward(way) = verdict {
+            assert_eq!(way.target, self.requests[request].target, "an open flow keeps its target");
+            self.after(NEAR_MS, Event::Work { request, port, target: way.target });
+        }
+    }
+
+    fn work(&mut self, request: usize, port: u16, target: usize) {
+        let machine = &mut self.machines[target];
+        if machine.running < self.slots {
+            machine.running += 1;
+            let work_ms = self.requests[request].work_ms.round() as u64;
+            self.after(work_ms, Event::Done { request, port, target });
+        } else if machine.queue.len() < QUEUE {
+            machine.queue.push_back((request, port));
+        } else {
+            self.after(CLIENT_MS, Event::Answered { request, port, shed: true });
+        }
+    }
+
+    fn done(&mut self, request: usize, port: u16, target: usize) {
+        self.after(CLIENT_MS, Event::Answered { request, port, shed: false });
+        match self.machines[target].queue.pop_front() {
+            Some((next, port)) => {
+                let work_ms = self.requests[next].work_ms.round() as u64;
+                self.after(work_ms, Event::Done { request: next, port, target });
+            }
+            None => self.machines[target].running -= 1,
+        }
+    }
+
+    fn answered(&mut self, request: usize, port: u16, shed: bool) {
+        self.after(CLIENT_MS, Event::Close { request, port });
+        if !self.is_current(request, port) {
+            return;
+        }
+        if shed {
+            self.refused(request, port);
+            return;
+        }
+        let Request { load, sent, counted, .. } = self.requests[request];
+        self.requests[request].answered = true;
+        if !counted {
+            return;
+        }
+        let in_aim = self.now - sent <= self.loads[load].class.objective_ms;
+        let tally = &mut self.tallies[load];
+        if in_aim { tally.in_aim += 1 } else { tally.late += 1 }
+    }
+
+    fn close(&mut self, request: usize, port: u16) {
+        let instance = self.instance(request);
+        if self.frozen[instance] || self.requests[request].client.port() != port {
+            return;
+        }
+        let packet = self.packet(request, Kind::Close);
+        self.paths[instance].receive(Time(self.now), &packet);
+    }
+
+    fn refused(&mut self, request: usize, port: u16) {
+        if !self.is_current(request, port) {
+            return;
+        }
+        let Request { load, sent, tries, counted, .. } = self.requests[request];
+        if tries < RETRIES && self.now - sent < self.loads[load].class.timeout_ms {
+            self.requests[request].tries += 1;
+            self.try_again(request);
+            return;
+        }
+        self.requests[request].answered = true;
+        if !counted {
+            return;
+        }
+        self.tallies[load].failed += 1;
+        let after_ms = self.now - sent;
+        self.tallies[load].refused_after_ms = after_ms.max(self.tallies[load].refused_after_ms);
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.after(TICK_MS, Event::Tick(index));
+        if self.frozen[index] {
+            return;
+        }
+        self.paths[index].tick(Time(self.now));
+        let held = std::mem::take(&mut self.held[index]);
+        for Held { packet, arrived, request } in held.into_iter().rev() {
+            if !self.is_current(request, packet.client.port()) {
+                continue;
+            }
+            let verdict = self.paths[index].judge(Time(self.now), &packet, Time(arrived));
+            self.act(index, request, packet, arrived, verdict);
+        }
+        self.held[index].reverse();
+    }
+
+    fn report(&mut self, index: usize) {
+        self.after(REPORT_MS, Event::Report(index));
+        if self.frozen[index] {
+            return;
+        }
+        let report = self.paths[index].report();
+        let name = format!("e-{index}").into();
+        let zone = ["pa", "ct", "me"][index % 3].into();
+        let from = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index as u8), 7_720);
+        let now = Time(self.now);
+        for (other, path) in self.paths.iter_mut().enumerate() {
+            if other != index && !self.frozen[other] {
+                path.peers_mut().hear(&name, &zone, from, now);
+                path.hear(&name, &report, now);
+                path.confirm();
+            }
+        }
+    }
+}
+
+fn path(index: usize, seed: u64, plan: &Plan, targets: usize, slots: u32) -> Path {
+    let mut path = Path::new(Settings {
+        name: format!("e-{index}").into(),
+        zone: ["pa", "ct", "me"][index % 3].into(),
+        seed: seed + index as u64,
+        ..Settings::default()
+    });
+    path.adopt(plan.clone());
+    for target in 0..targets {
+        path.apply(Row { entry: entry(target, slots), state: State::Ready, revision: 1 }, Time(0));
+    }
+    path.advance(1);
+    path
+}
+
+/// The mix of the site nidosicuro-lb at its usual rate times a factor.
+pub fn nido(factor: f64) -> Vec<Load> {
+    let class = |priority, objective_ms, timeout_ms| Class { priority, objective_ms, timeout_ms };
+    vec![
+        Load {
+            port: 443,
+            class: class(2, 250, 1_500),
+            work_ms: 55.0,
+            per_s: 292.0 * factor,
+            worth: (1.0, 0.3),
+        },
+        Load {
+            port: 8080,
+            class: class(1, 300, 2_000),
+            work_ms: 72.0,
+            per_s: 83.3 * factor,
+            worth: (2.0, 0.6),
+        },
+    ]
+}
