--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -428,20 +428,29 @@
         let service = pick(&place.shares, key);
         let mut avoid = None;
         if let Some(flow) = self.flows.get(key).cloned() {
-            let target = self.catalog.target(flow.target);
-            let holds = flow.is_open || now.since(flow.active) < COPY_GAP_MS;
-            match target {
-                Some(target) if holds => return Verdict::Forward(way(flow.target, target)),
-                _ => avoid = Some(flow.target),
+            if let Some(way) = self.repeat(now, &flow, service) {
+                return Verdict::Forward(way);
+            }
+            self.flows.remove(key);
+            self.loads.end(flow.target);
+            if !flow.is_open {
+                self.unanswered(now, packet, flow.target);
+                avoid = Some(flow.target);
             }
-            self.unanswered(now, packet, key, flow.target);
         }
         self.place(now, &Opening { key, service, class, copy, avoid, arrived })
     }
 
-    fn unanswered(&mut self, now: Time, packet: &Packet, key: Key, target: usize) {
-        self.flows.remove(key);
-        self.loads.end(target);
+    /// Where a further opening packet of a flow goes that is already placed: to the
+    /// same target, if that has answered or has not had the time to.
+    fn repeat(&self, now: Time, flow: &Flow, service: usize) -> Option<Way> {
+        let target = self.catalog.target(flow.target)?;
+        let takes_new = matches!(target.row.state, State::Ready | State::Missing);
+        let holds = flow.is_open || now.since(flow.active) < COPY_GAP_MS;
+        (holds && takes_new && target.service == service).then(|| way(flow.target, target))
+    }
+
+    fn unanswered(&mut self, now: Time, packet: &Packet, target: usize) {
         self.doubts.strike(target, now);
         if let Some(known) = self.catalog.target(target) {
             let name = known.row.entry.name.clone();
--- /dev/null
+++ b/tests/relay_catalog.rs
@@ -0,0 +1,113 @@
+//! What is known of targets moves forward only, and lapsed entries are not ends.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use proptest::prelude::*;
+use ragwortlb::{
+    relay::{
+        Entry, Token,
+        catalog::{Catalog, Change, RETURN_MS, Row, State},
+    },
+    time::Time,
+};
+
+fn row(name: &str, revision: u64, state: State) -> Row {
+    let entry = Entry {
+        name: name.into(),
+        number: 1,
+        born_ms: 1,
+        service: "booking".into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 3, 0, 1), 8080),
+        zone: "pa".into(),
+        slots: 3,
+        leaving: state == State::Leaving,
+        warm_up_ms: 0,
+        beat: revision,
+    };
+    Row { entry, state, revision }
+}
+
+fn state(catalog: &Catalog, name: &str) -> Option<State> {
+    catalog.rows().find(|row| &*row.entry.name == name).map(|row| row.state)
+}
+
+#[test]
+fn older_row() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Leaving), Time(0));
+    assert_eq!(catalog.apply(row("a-1", 4, State::Ready), Time(1)), Change::None);
+    assert_eq!(state(&catalog, "a-1"), Some(State::Leaving));
+}
+
+#[test]
+fn missing_then_back() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Ready), Time(0));
+    let ending = catalog.ending("a-1", 6, true).unwrap();
+    assert_eq!(ending.state, State::Missing);
+    catalog.apply(ending, Time(10));
+    assert_eq!(catalog.members(0), [0], "a missing target may be alive");
+    catalog.apply(row("a-1", 7, State::Ready), Time(20));
+    assert!(catalog.lapsed(Time(10), Time(10 + RETURN_MS)).is_empty());
+}
+
+#[test]
+fn missing_then_gone() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Ready), Time(0));
+    catalog.apply(catalog.ending("a-1", 6, true).unwrap(), Time(10));
+    assert!(catalog.lapsed(Time(10), Time(9 + RETURN_MS)).is_empty());
+    for row in catalog.lapsed(Time(10), Time(10 + RETURN_MS)) {
+        catalog.apply(row, Time(10 + RETURN_MS));
+    }
+    assert_eq!(state(&catalog, "a-1"), Some(State::Gone));
+    assert!(catalog.members(0).is_empty());
+}
+
+#[test]
+fn absent_in_reading() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Ready), Time(0));
+    catalog.apply(row("a-2", 6, State::Ready), Time(0));
+    catalog.apply(row("a-3", 9, State::Ready), Time(0));
+    let absent = catalog.absent(&["a-2".into()], 8, false);
+    let names: Vec<_> = absent.iter().map(|row| &*row.entry.name).collect();
+    assert_eq!(names, ["a-1"], "what is newer than the reading stays");
+}
+
+#[test]
+fn second_life() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Ready), Time(0));
+    let mut reborn = row("a-1", 6, State::Ready);
+    reborn.entry.born_ms = 2;
+    reborn.entry.beat = 1;
+    assert_eq!(catalog.apply(reborn, Time(1)), Change::Life(0));
+    assert_eq!(catalog.find(Token::of("a-1")), Some(0));
+}
+
+#[test]
+fn forgotten_after_flows() {
+    let mut catalog = Catalog::default();
+    catalog.apply(row("a-1", 5, State::Ready), Time(0));
+    catalog.apply(row("a-1", 6, State::Gone), Time(10));
+    catalog.forget(Time(60_000), 60_000);
+    assert!(catalog.find(Token::of("a-1")).is_some());
+    catalog.forget(Time(60_011), 60_000);
+    assert!(catalog.find(Token::of("a-1")).is_none());
+}
+
+proptest! {
+    #[test]
+    fn any_order(mut order in Just((1u64..12).collect::<Vec<_>>()).prop_shuffle(), repeat in 0usize..11) {
+        let states = [State::Ready, State::Leaving, State::Missing, State::Gone];
+        let repeated = order[repeat];
+        order.push(repeated);
+        let mut catalog = Catalog::default();
+        catalog.apply(row("a-1", 0, State::Ready), Time(0));
+        for revision in order {
+            catalog.apply(row("a-1", revision, states[revision as usize % 4]), Time(revision));
+        }
+        prop_assert_eq!(state(&catalog, "a-1"), Some(states[11 % 4]));
+    }
+}
--- /dev/null
+++ b/tests/relay_news.rs
@@ -0,0 +1,121 @@
+//! Messages between instances on the packet path: their bytes, and who is there.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use proptest::prelude::*;
+use ragwortlb::{
+    relay::{
+        Entry,
+        catalog::{Row, State},
+        news::{self, Frame, MAX_FRAME_BYTES, Member, News, Rows, Snapshot},
+        path::{Path, Settings},
+        peers::{DARK_MS, Peers, SILENCE_MS},
+    },
+    time::Time,
+};
+
+fn rows(count: u64) -> Vec<Row> {
+    let entry = |index: u64| Entry {
+        name: format!("i-{index:016x}").into(),
+        number: index,
+        born_ms: 1_700_000_000_000,
+        service: "matching-service".into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 3, 0, 1), 8080),
+        zone: "availability-zone".into(),
+        slots: 3,
+        leaving: false,
+        warm_up_ms: 2_000,
+        beat: index,
+    };
+    (1..=count).map(|index| Row { entry: entry(index), state: State::Ready, revision: index }).collect()
+}
+
+fn frame(news: News) -> Frame {
+    Frame { sender: "edge-pa-1-of-a-long-name".into(), zone: "availability-zone".into(), news }
+}
+
+fn address(host: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, host), 7_720)
+}
+
+#[test]
+fn rows_in_datagrams() {
+    let parts = news::split(3, 200, rows(200));
+    assert!(parts.len() > 1);
+    for rows in &parts {
+        assert!(frame(News::Rows(rows.clone())).to_bytes().len() <= MAX_FRAME_BYTES);
+    }
+    assert_eq!(parts.iter().map(|part| part.rows.len()).sum::<usize>(), 200);
+    assert!(parts[..parts.len() - 1].iter().all(|part| part.revision == 3), "only the last completes");
+    assert_eq!(parts.last().unwrap().revision, 200);
+}
+
+#[test]
+fn members_in_datagram() {
+    let member = |index| Member {
+        name: format!("edge-pa-{index}-of-a-longer-name").into(),
+        zone: "zone".into(),
+        address: address(1),
+    };
+    let members = (0..news::MAX_MEMBERS).map(member).collect();
+    assert!(frame(News::Members(members)).to_bytes().len() <= MAX_FRAME_BYTES);
+}
+
+#[test]
+fn lost_rows() {
+    let mut path = Path::new(Settings::default());
+    path.advance(5);
+    let later = Rows { after: 7, revision: 9, rows: rows(1) };
+    assert!(!path.take_rows(later, Time(1)));
+    assert_eq!(path.catalog().revision(), 5, "a gap is not taken for complete");
+    assert!(path.take_rows(Rows { after: 4, revision: 9, rows: Vec::new() }, Time(1)));
+    assert_eq!(path.catalog().revision(), 9);
+}
+
+#[test]
+fn one_reader_a_zone() {
+    let mut peers = Peers::default();
+    let names = ["e-1", "e-2", "e-3", "e-4"];
+    for (host, name) in names.iter().enumerate() {
+        peers.hear(&(*name).into(), &"pa".into(), address(host as u8), Time(0));
+    }
+    let readers = |peers: &Peers, now| names.iter().filter(|name| peers.is_reader(name, "pa", now)).count();
+    assert_eq!(readers(&peers, Time(1)), 1);
+    assert!(peers.is_reader("other", "ct", Time(1)), "each zone has its own");
+    assert_eq!(readers(&peers, Time(SILENCE_MS)), 4, "whoever hears nobody reads");
+}
+
+#[test]
+fn dark_zone() {
+    let mut peers = Peers::default();
+    peers.hear(&"e-1".into(), &"ct".into(), address(1), Time(0));
+    peers.hear(&"e-2".into(), &"me".into(), address(2), Time(0));
+    peers.hear(&"e-2".into(), &"me".into(), address(2), Time(DARK_MS));
+    let dark = peers.dark_zones("pa", Time(DARK_MS + 1));
+    assert_eq!(dark, [("ct".into(), Time(0))]);
+}
+
+#[test]
+fn told_address() {
+    let mut peers = Peers::default();
+    peers.hear(&"e-1".into(), &"pa".into(), address(1), Time(0));
+    peers.meet(&"e-1".into(), &"pa".into(), address(9), Time(1));
+    assert_eq!(peers.rows().next().unwrap().address, address(1), "what is heard goes before");
+    peers.meet(&"e-1".into(), &"pa".into(), address(9), Time(SILENCE_MS));
+    assert_eq!(peers.rows().next().unwrap().address, address(9));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _frame = Frame::from_bytes(&bytes);
+        let _snapshot = Snapshot::from_bytes(&bytes);
+    }
+
+    #[test]
+    fn cut_frames(count in 0u64..20, cut in 1usize..40) {
+        let bytes = frame(News::Rows(Rows { after: 1, revision: 2, rows: rows(count) })).to_bytes();
+        let cut = cut.min(bytes.len());
+        prop_assert!(Frame::from_bytes(&bytes[..bytes.len() - cut]).is_err());
+    }
+}
