--- a/crates/ragwortlb-standin/src/lib.rs
+++ b/crates/ragwortlb-standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fabric;
 pub mod fleet;
 pub mod measure;
+pub mod packets;
 pub mod ports;
 pub mod site;
 pub mod store;
--- /dev/null
+++ b/crates/ragwortlb-standin/src/packets/store.rs
@@ -0,0 +1,225 @@
+//! Stand-in for the platform's store: keys with revisions, ranges, watches and
+//! leases, over HTTP/1.1.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    io,
+    net::SocketAddrV4,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+/// Change of one key.
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    value: Option<Vec<u8>>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, Change>,
+    history: Vec<Change>,
+    revision: u64,
+    dropped: u64,
+    leases: u64,
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Option<&[u8]>) -> u64 {
+        self.revision += 1;
+        let value = value.map(<[u8]>::to_vec);
+        let change = Change { key: key.into(), value, revision: self.revision };
+        match change.value {
+            Some(_) => self.items.insert(key.into(), change.clone()),
+            None => self.items.remove(key),
+        };
+        self.history.push(change);
+        self.revision
+    }
+}
+
+/// Running store.
+pub struct Store {
+    inner: Arc<Inner>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+    down: AtomicBool,
+    calls: AtomicU64,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Store {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(address: SocketAddrV4) -> io::Result<Store> {
+        let listener = TcpListener::bind(address).await?;
+        let inner = Arc::new(Inner {
+            state: Mutex::new(State { revision: 1, ..State::default() }),
+            changed: watch::Sender::new(1),
+            down: AtomicBool::new(false),
+            calls: AtomicU64::new(0),
+        });
+        let task = tokio::spawn(accept(listener, inner.clone()));
+        Ok(Store { inner, task })
+    }
+
+    /// Writes a key, or ends it.
+    pub fn write(&self, key: &str, value: Option<&[u8]>) -> u64 {
+        let revision = self.inner.lock().write(key, value);
+        self.inner.changed.send_replace(revision);
+        revision
+    }
+
+    /// Answers every call with an error, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.inner.down.store(down, Ordering::Relaxed);
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.inner.lock();
+        state.dropped = state.revision;
+        state.history.clear();
+    }
+
+    /// Calls since the start.
+    pub fn calls(&self) -> u64 {
+        self.inner.calls.load(Ordering::Relaxed)
+    }
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Inner>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let inner = inner.clone();
+        let service = service_fn(move |request| {
+            let inner = inner.clone();
+            async move { Ok::<_, Infallible>(inner.answer(request).await) }
+        });
+        tokio::spawn(async move {
+            if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("a connection to the store ended: {error}");
+            }
+        });
+    }
+}
+
+fn respond(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
+
+fn parameters(request: &Request<Incoming>) -> BTreeMap<String, String> {
+    let query = request.uri().query().unwrap_or("");
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.into(), value.into())).collect()
+}
+
+fn item(change: &Change) -> Value {
+    match &change.value {
+        Some(value) => json!({
+            "key": change.key, "value": BASE64_STANDARD.encode(value), "revision": change.revision,
+            "created": change.revision, "lease": 0
+        }),
+        None => json!({"key": change.key, "revision": change.revision, "deleted": true}),
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.down.load(Ordering::Relaxed) {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/kv-range") => self.range(&parameters(&request)),
+            (&Method::GET, "/kv-watch") => self.watch(&parameters(&request)).await,
+            (&Method::POST, "/kv-lease") => self.lease(),
+            (&Method::POST, path) if path.starts_with("/kv-keep/") => {
+                respond(StatusCode::OK, &json!({"ttlMs": 30_000}))
+            }
+            (&Method::POST, "/kv-txn") => self.transact(request).await,
+            _ => respond(StatusCode::NOT_FOUND, &json!({})),
+        }
+    }
+
+    fn range(&self, parameters: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
+        let prefix = parameters.get("prefix").map_or("", String::as_str);
+        let after = parameters.get("after").map_or("", String::as_str);
+        let state = self.lock();
+        let found = state.items.values().filter(|change| change.key.starts_with(prefix));
+        let items: Vec<Value> = found.filter(|change| change.key.as_str() > after).map(item).collect();
+        respond(StatusCode::OK, &json!({"items": items, "hasMore": false, "storeRevision": state.revision}))
+    }
+
+    async fn watch(&self, parameters: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
+        let number = |name: &str| parameters.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
+        let mut changed = self.changed.subscribe();
+        if after < self.lock().dropped {
+            return respond(StatusCode::GONE, &json!({}));
+        }
+        if tokio::time::timeout(wait, changed.wait_for(|revision| *revision > after)).await.is_err() {
+            log::debug!("a watch ended without a change");
+        }
+        let state = self.lock();
+        let events: Vec<Value> =
+            state.history.iter().filter(|change| change.revision > after).map(item).collect();
+        respond(StatusCode::OK, &json!({"events": events, "storeRevision": state.revision}))
+    }
+
+    fn lease(&self) -> Response<Full<Bytes>> {
+        let mut state = self.lock();
+        state.leases += 1;
+        respond(StatusCode::OK, &json!({"lease": state.leases, "ttlMs": 30_000}))
+    }
+
+    async fn transact(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = match request.into_body().collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return respond(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()})),
+        };
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let mut revision = 0;
+        for write in body["writes"].as_array().into_iter().flatten() {
+            let value = BASE64_STANDARD.decode(write["value"].as_str().unwrap_or("")).unwrap_or_default();
+            revision = self.lock().write(write["key"].as_str().unwrap_or(""), Some(&value));
+        }
+        self.changed.send_replace(revision);
+        respond(StatusCode::OK, &json!({"revision": revision}))
+    }
+}
--- /dev/null
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -0,0 +1,236 @@
+//! The program on the platform's stand-ins: store, targets and clients on loopback
+//! addresses, two instances as processes.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddrV4},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use ragwortlb_standin::{
+    packets::{
+        client::{Client, Outcome},
+        store::Store,
+        target::Target,
+    },
+    ports,
+};
+use tokio::net::TcpStream;
+
+/// Time in which instances must be ready and changes in force.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Time in which a configuration has to be in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(3);
+
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+const LATER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 444);
+
+struct Instance {
+    child: Child,
+    packets: SocketAddrV4,
+    ready: SocketAddrV4,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Err(error) = self.child.kill().and_then(|()| self.child.wait().map(drop)) {
+            eprintln!("an instance did not end: {error}");
+        }
+    }
+}
+
+struct World {
+    store: Store,
+    targets: Vec<Target>,
+    instances: Vec<Instance>,
+    client: Client,
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn beat(target: usize, address: SocketAddrV4, state: &str) -> String {
+    format!(
+        r#"{{"service":"booking","address":"{address}","zone":"pa","version":"v1","slots":3,
+            "state":"{state}","warmupLeftMs":0,"seq":{target},"born":1700000000000}}"#
+    )
+}
+
+fn config(version: u64, ports: &[u16]) -> String {
+    let route = |port| {
+        format!(
+            r#"{{"name":"r-{port}","host":"198.18.0.1","prefix":"/{port}/","type":"idempotent",
+                "timeoutMs":1500,"targetLatencyMs":250,"priority":1,"service":"booking","maxAttempts":2}}"#
+        )
+    };
+    let routes: Vec<String> = ports.iter().map(route).collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"booking","healthPath":"/health",
+            "maxConns":2000,"protocol":"h1","tls":false}}],"limits":{{"idleTimeoutMs":15000}}}}"#,
+        routes.join(",")
+    )
+}
+
+impl World {
+    /// Two instances before two targets; `net` keeps the addresses of tests apart.
+    async fn start(net: u8) -> World {
+        let ports: Vec<u16> = ports::free(6).unwrap().iter().map(|address| address.port()).collect();
+        let &[packet_port, ready_port, news_port, _, store_port, target_port] = ports.as_slice() else {
+            panic!("six ports");
+        };
+        let at = |host, port| SocketAddrV4::new(Ipv4Addr::new(127, net, 0, host), port);
+        let store = Store::start(at(1, store_port)).await.unwrap();
+        store.write("op/config", Some(config(1, &[443]).as_bytes()));
+        let mut targets = Vec::new();
+        for index in 0..2 {
+            let address = at(20 + index as u8, target_port);
+            let (name, number) = (format!("i-{:08x}", index + 16), index as u64 + 16);
+            targets.push(Target::start(address, number, &name, packet_port).await.unwrap());
+            store.write(&format!("servers/{name}"), Some(beat(index, address, "ready").as_bytes()));
+        }
+        store.write("servers/i-99", Some(b"not an entry"));
+        let instances = (0..2)
+            .map(|index| {
+                let ip = 10 + index;
+                let (packets, ready) = (at(ip, packet_port), at(ip, ready_port));
+                let settings = format!(
+                    "nodeName=edge-{net}-{index}\nip={}\nzone=pa\nlisten.datagramAddr={packets}\n\
+                     listen.ready={ready}\ninternalPorts={news_port},{}\nplatform.address={}\n\
+                     unknown.key=1\n",
+                    packets.ip(),
+                    news_port + 1,
+                    at(1, store_port)
+                );
+                let path = folder("packet-path").join(format!("{net}-{index}.conf"));
+                fs::write(&path, settings).unwrap();
+                let log = fs::File::create(path.with_extension("log")).unwrap();
+                let child = Command::new(env!("CARGO_BIN_EXE_ragwortlbd"))
+                    .arg("--platform")
+                    .env("RAGWORTLB_CONFIG", &path)
+                    .stdout(Stdio::null())
+                    .stderr(log)
+                    .spawn()
+                    .unwrap();
+                Instance { child, packets, ready }
+            })
+            .collect();
+        let client = Client::new(at(100, packet_port)).await.unwrap();
+        let world = World { store, targets, instances, client };
+        for instance in &world.instances {
+            wait_ready(instance.ready).await;
+        }
+        world
+    }
+
+    async fn request(&mut self, route: SocketAddrV4) -> Outcome {
+        let instances: Vec<_> = self.instances.iter().map(|instance| instance.packets).collect();
+        self.client.request(route, &instances, b"a request").await.unwrap()
+    }
+
+    /// Sends requests until one ends as expected.
+    async fn wait_outcome(&mut self, route: SocketAddrV4, limit: Duration, expected: fn(&Outcome) -> bool) {
+        let started = Instant::now();
+        loop {
+            let outcome = self.request(route).await;
+            if expected(&outcome) {
+                return;
+            }
+            assert!(started.elapsed() < limit, "{outcome:?} after {limit:?}");
+        }
+    }
+
+    fn signal(&self, instance: usize, signal: &str) {
+        let id = self.instances[instance].child.id().to_string();
+        assert!(Command::new("kill").args(["-s", signal, &id]).status().unwrap().success());
+    }
+}
+
+/// Waits until an instance answers that it is ready.
+async fn wait_ready(address: SocketAddrV4) {
+    let started = Instant::now();
+    while !is_ready(address).await {
+        assert!(started.elapsed() < LIMIT, "{address} is not ready");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn is_ready(address: SocketAddrV4) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let Ok(mut stream) = TcpStream::connect(address).await else {
+        return false;
+    };
+    stream.write_all(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer.starts_with("HTTP/1.1 200")
+}
+
+#[tokio::test]
+async fn calm_requests() {
+    let mut world = World::start(61).await;
+    for _ in 0..200 {
+        let outcome = world.request(ROUTE).await;
+        assert!(matches!(&outcome, Outcome::Answer(name) if name.starts_with(b"i-000000")), "{outcome:?}");
+    }
+    for target in &world.targets {
+        assert!(target.counts.ran.load(Ordering::Relaxed) >= 50, "{:?}", target.counts);
+        for count in [&target.counts.foreign, &target.counts.forged, &target.counts.unknown] {
+            assert_eq!(count.load(Ordering::Relaxed), 0, "{:?}", target.counts);
+        }
+    }
+}
+
+#[tokio::test]
+async fn changed_routes() {
+    let mut world = World::start(62).await;
+    world.store.write("op/config", Some(config(5, &[443, 444]).as_bytes()));
+    world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
+    world.store.write("op/config", Some(b"not a configuration"));
+    assert!(matches!(world.request(LATER).await, Outcome::Answer(_)));
+    world.store.compact();
+    world.store.write("op/config", Some(config(9, &[443]).as_bytes()));
+    world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| *outcome == Outcome::Refused).await;
+    assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)));
+}
+
+#[tokio::test]
+async fn store_outage() {
+    let mut world = World::start(63).await;
+    world.store.set_down(true);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)));
+    }
+    world.store.set_down(false);
+    world.store.write("op/config", Some(config(2, &[443, 444]).as_bytes()));
+    world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
+}
+
+#[tokio::test]
+async fn graceful_stop() {
+    let mut world = World::start(64).await;
+    world.signal(0, "HUP");
+    assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)));
+    world.signal(0, "TERM");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!is_ready(world.instances[0].ready).await, "it says that it leaves");
+    for _ in 0..20 {
+        assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)), "it still takes packets");
+    }
+    let started = Instant::now();
+    loop {
+        if let Some(status) = world.instances[0].child.try_wait().unwrap() {
+            assert!(status.success());
+            break;
+        }
+        assert!(started.elapsed() < LIMIT);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
