--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -20,6 +20,9 @@
 /// Time between reports to a peer that is silent, in milliseconds.
 const KNOCK_MS: u64 = 500;
 
+/// The same soon after a start, when peers may have started too.
+const YOUNG_KNOCK_MS: u64 = 40;
+
 /// Time after a pause in which a report may have been sent before it, in milliseconds.
 const STALE_MS: u64 = 60;
 
@@ -103,7 +106,8 @@
     loop {
         interval.tick().await;
         let now = now();
-        let knocks = now.since(knocked) >= KNOCK_MS;
+        let is_young = shared.path.borrow().is_young(now);
+        let knocks = now.since(knocked) >= if is_young { YOUNG_KNOCK_MS } else { KNOCK_MS };
         if knocks {
             knocked = now;
         }
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -25,6 +25,13 @@
 /// Mean time of a flow before any was measured, in milliseconds.
 const FIRST_MEAN_MS: f32 = 60.0;
 
+/// Growth of a service's mean time that is believed within a second. Work does not
+/// change faster, but queues that this instance cannot see do.
+const BELIEVED_GROWTH: f32 = 1.05;
+
+/// Length of the time in which the mean may grow by that, in milliseconds.
+const GROWTH_MS: u64 = 1_000;
+
 /// Samples from which on a target's own mean is believed.
 const ENOUGH_SAMPLES: u32 = 5;
 
@@ -66,6 +73,33 @@
     }
 }
 
+/// Times of a service's flows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    /// Recent mean, which paces of targets are compared with.
+    recent: Pace,
+    /// Mean that grows slowly.
+    believed_ms: Option<f32>,
+    ceiling_ms: f32,
+    raised: Time,
+}
+
+impl Usual {
+    fn add(&mut self, time_ms: f32, now: Time) {
+        self.recent.add(time_ms);
+        if self.recent.samples < ENOUGH_SAMPLES {
+            return;
+        }
+        let recent_ms = self.recent.mean_ms;
+        let believed_ms = self.believed_ms.unwrap_or(recent_ms);
+        if self.believed_ms.is_none() || now.since(self.raised) >= GROWTH_MS {
+            self.ceiling_ms = believed_ms * BELIEVED_GROWTH;
+            self.raised = now;
+        }
+        self.believed_ms = Some(recent_ms.min(self.ceiling_ms));
+    }
+}
+
 /// Open flows and paces of targets.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -73,7 +107,7 @@
     others: Vec<u32>,
     views: HashMap<Peer, View>,
     paces: Vec<Pace>,
-    services: HashMap<usize, Pace>,
+    services: HashMap<usize, Usual>,
 }
 
 impl Loads {
@@ -151,21 +185,23 @@
     }
 
     /// Adds the time of a flow that found its target idle.
-    pub fn sample(&mut self, target: usize, service: usize, time_ms: u64) {
+    pub fn sample(&mut self, target: usize, service: usize, time_ms: u64, now: Time) {
         self.resize(self.own.len().max(target + 1));
         self.paces[target].add(time_ms as f32);
-        self.services.entry(service).or_default().add(time_ms as f32);
+        self.services.entry(service).or_default().add(time_ms as f32, now);
     }
 
     /// Mean time of flows of a service, in milliseconds.
     pub fn mean_ms(&self, service: usize) -> f32 {
-        self.services.get(&service).map_or(FIRST_MEAN_MS, |pace| pace.mean_ms)
+        self.services.get(&service).and_then(|usual| usual.believed_ms).unwrap_or(FIRST_MEAN_MS)
     }
 
     /// Mean time at a target against that of its service.
     pub fn slowness(&self, target: usize, service: usize) -> f32 {
-        match self.paces.get(target) {
-            Some(pace) if pace.samples >= ENOUGH_SAMPLES => pace.mean_ms / self.mean_ms(service).max(1.0),
+        match (self.paces.get(target), self.services.get(&service)) {
+            (Some(pace), Some(usual)) if pace.samples >= ENOUGH_SAMPLES => {
+                pace.mean_ms / usual.recent.mean_ms.max(1.0)
+            }
             _ => 1.0,
         }
     }
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -58,6 +58,9 @@
 /// milliseconds: until the client's next copy takes its place.
 const HOLD_LATE_MS: u64 = 400;
 
+/// Share of a service's slots in use up to which its flows' times are measured.
+const LIGHT_SHARE: f32 = 0.8;
+
 /// Time after a start within which peers may start too, in milliseconds.
 const YOUNG_MS: u64 = 2_000;
 
@@ -388,7 +391,7 @@
                 };
                 self.loads.end(flow.target);
                 if flow.is_sample && flow.target == target && packet.kind == Kind::Close {
-                    self.loads.sample(target, service, now.since(flow.opened));
+                    self.loads.sample(target, service, now.since(flow.opened), now);
                 }
                 self.answered(target, now);
             }
@@ -469,7 +472,9 @@
         self.list(now, service, opening.avoid, &mut candidates);
         let choice = self.choose(now, opening, &demand, &candidates);
         let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
-        let is_idle = found.is_some_and(|candidate| candidate.open < candidate.slots);
+        let is_idle = found.is_some_and(|candidate| candidate.open < candidate.slots)
+            && !self.is_young(now)
+            && is_light(&candidates);
         self.candidates = candidates;
         match choice {
             Choice::Target(index) => self.send(now, opening, index, is_idle),
@@ -549,7 +554,9 @@
         }
     }
 
-    fn is_young(&self, now: Time) -> bool {
+    /// Reports whether this instance has started a short time ago, so that peers may
+    /// have started with it.
+    pub fn is_young(&self, now: Time) -> bool {
         self.started.is_none_or(|started| now.since(started) < YOUNG_MS)
     }
 
@@ -768,6 +775,14 @@
     Way { target: index, address: entry.address, number: entry.number, token: target.token }
 }
 
+/// Reports whether a flow's time shows its target rather than queues: with most slots
+/// free, a few flows that are not counted do not fill the rest.
+fn is_light(candidates: &[Candidate]) -> bool {
+    let slots: f32 = candidates.iter().map(|candidate| candidate.slots).sum();
+    let open: f32 = candidates.iter().map(|candidate| candidate.open).sum();
+    open < LIGHT_SHARE * slots
+}
+
 /// Service of a flow, by the weights of its route.
 fn pick(shares: &[(usize, u32)], key: Key) -> usize {
     let total: u64 = shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/src/relay/place.rs
+++ b/src/relay/place.rs
@@ -42,7 +42,7 @@
     fn default() -> Settings {
         Settings {
             urgent_wait: 0.5,
-            other_wait: 0.25,
+            other_wait: 0.3,
             late_fill: 0.8,
             tie_ms: 5.0,
             cold_factor: 1.6,
--- a/tests/relay_flood.rs
+++ b/tests/relay_flood.rs
@@ -130,3 +130,33 @@
         assert!(tally.credit(&nido(1.0)[load]) >= 0.97, "{tally:?}");
     }
 }
+
+#[test]
+fn whole_outage() {
+    for seed in 1..=3 {
+        let mut world = settled(seed);
+        world.frozen.fill(true);
+        world.run_to(4_700);
+        world.restart();
+        world.reset_tallies();
+        world.run_to(6_700);
+        world.settle();
+        let (browse, book) = (world.tally(BROWSE), world.tally(BOOK));
+        assert_eq!(browse.failed + book.failed, 0, "seed {seed}: {browse:?} {book:?}");
+        assert_eq!(book.late, 0, "seed {seed}: {book:?}");
+    }
+}
+
+#[test]
+fn lone_views() {
+    let mut world = settled(1);
+    let usual_ms = world.paths[0].loads().mean_ms(0);
+    // Nobody hears anybody, so that each counts its own flows only.
+    world.silent = true;
+    flood(&mut world, 4.0);
+    world.run_to(6_000);
+    for path in &world.paths {
+        let mean_ms = path.loads().mean_ms(0);
+        assert!(mean_ms <= 1.5 * usual_ms, "{mean_ms} of {usual_ms} ms: queues are taken for work");
+    }
+}
