--- a/crates/ragwortlbd/src/relay.rs
+++ b/crates/ragwortlbd/src/relay.rs
@@ -2,8 +2,8 @@
 The daemon on the operators' platform: packets in, packets out.
 
 One thread runs everything, so the packet path shares its state without locks.
-[`packets`] moves packets, [`news`] talks with other instances, [`follow`]
-follows the platform's store, [`fetch`] gives and takes snapshots, [`register`]
+Of its modules `packets` moves packets, `news` talks with other instances, `follow`
+follows the platform's store, `fetch` gives and takes snapshots, and `register`
 keeps this instance's entry. What they know and decide is in
 [`ragwortlb::relay::path::Path`].
 */
