--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -147,7 +147,6 @@
             () = shared.learned.notified() => {}
         }
         shared.log_notes();
-        shared.refusals.refill(now());
         if !parked.borrow().is_empty() {
             retry(&shared, &parked, &mut out);
         }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -48,8 +48,8 @@
     count.set(count.get() + 1);
 }
 
-/// Lines a second for refusals: a flood refuses many thousands.
-const REFUSAL_LINES_PER_S: u64 = 20;
+/// Lines a second of one kind: a flood refuses many thousands of flows.
+const LINES_PER_S: u64 = 20;
 
 /// Lines that one kind of event may still write in this second.
 #[derive(Debug, Default)]
@@ -62,13 +62,13 @@
 impl Lines {
     /// Reports whether one more line may be written.
     pub fn take(&self) -> bool {
-        let allowed = self.written.get() < REFUSAL_LINES_PER_S;
+        let allowed = self.written.get() < LINES_PER_S;
         add(if allowed { &self.written } else { &self.left_out });
         allowed
     }
 
     /// Starts the next second, and tells how many lines the last one left out.
-    pub fn refill(&self, now: Time) {
+    pub fn refill(&self, now: Time, kind: &str) {
         let second = now.0 / 1_000;
         if second == self.second.replace(second) {
             return;
@@ -76,7 +76,7 @@
         self.written.set(0);
         match self.left_out.replace(0) {
             0 => {}
-            count => log::info!("E723 left out {count} lines on refusals"),
+            count => log::info!("E723 left out {count} lines on {kind}"),
         }
     }
 }
@@ -89,6 +89,7 @@
     pub news: UdpSocket,
     pub counts: Counts,
     pub refusals: Lines,
+    pub unanswered: Lines,
     /// Told when packets that wait can be judged again.
     pub learned: Notify,
 }
@@ -124,12 +125,15 @@
 
     /// Logs what the path noted.
     pub fn log_notes(&self) {
+        self.refusals.refill(now(), "refusals");
+        self.unanswered.refill(now(), "targets that did not answer");
         let notes = self.path.borrow_mut().take_notes();
         for note in notes {
             match note {
-                path::Note::Unanswered { target, strikes, client } => {
+                path::Note::Unanswered { target, strikes, client } if self.unanswered.take() => {
                     log::info!("E710 target {target} did not answer {client}; {strikes} in a row");
                 }
+                path::Note::Unanswered { .. } => {}
                 path::Note::Paused { gap_ms } => log::warn!("E711 paused for {gap_ms} ms"),
                 path::Note::Target { target, state, revision } => {
                     log::info!("E712 target {target} is {state:?} at revision {revision}");
