--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -114,6 +114,7 @@
             news,
             counts,
             refusals: Lines::default(),
+            unanswered: Lines::default(),
             learned: Notify::new(),
         }))
     }
