--- /dev/null
+++ b/src/relay/path/knowledge.rs
@@ -0,0 +1,110 @@
+//! What the path learns from the store and from peers, and what it tells them.
+
+use super::{Note, Path};
+use crate::{
+    relay::{
+        Plan,
+        catalog::{Change, Row},
+        load,
+        news::{Load, Report, Rows, Snapshot},
+        peers::Peers,
+    },
+    time::Time,
+};
+
+impl Path {
+    /// Takes a plan if it is later than the one in force.
+    pub fn adopt(&mut self, plan: Plan) -> bool {
+        self.catalog.adopt(plan)
+    }
+
+    /// Takes a row; returns whether it was new.
+    pub fn apply(&mut self, row: Row, now: Time) -> bool {
+        let (name, state, revision) = (row.entry.name.clone(), row.state, row.revision);
+        match self.catalog.apply(row, now) {
+            Change::None => return false,
+            Change::Beat(_) => return true,
+            Change::State(_) => {}
+            Change::Life(index) => {
+                self.loads.reset(index);
+                self.doubts.reset(index);
+            }
+        }
+        // The first reading is told as a whole.
+        if self.catalog.revision() > 0 {
+            self.notes.push(Note::Target { target: name, state, revision });
+        }
+        true
+    }
+
+    /// Takes rows that a reader passed on; returns whether this instance is complete
+    /// up to their revision.
+    pub fn take_rows(&mut self, rows: Rows, now: Time) -> bool {
+        let is_next = rows.after <= self.catalog.revision();
+        for row in rows.rows {
+            self.apply(row, now);
+        }
+        if is_next {
+            self.catalog.advance(rows.revision);
+        }
+        is_next
+    }
+
+    /// All that is known here.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            revision: self.catalog.revision(),
+            plan: self.catalog.plan().clone(),
+            rows: self.catalog.rows().cloned().collect(),
+        }
+    }
+
+    /// Takes all that a peer knows.
+    pub fn take_snapshot(&mut self, snapshot: Snapshot, now: Time) {
+        self.adopt(snapshot.plan);
+        for row in snapshot.rows {
+            self.apply(row, now);
+        }
+        self.catalog.advance(snapshot.revision);
+    }
+
+    /// Notes that the catalog is complete up to a revision.
+    pub fn advance(&mut self, revision: u64) {
+        self.catalog.advance(revision);
+    }
+
+    /// Takes a peer's report.
+    pub fn hear(&mut self, sender: &str, report: &Report, now: Time) {
+        let mut loads = Vec::with_capacity(report.loads.len());
+        for load in &report.loads {
+            let Some(target) = self.catalog.find(load.token) else {
+                continue;
+            };
+            loads.push(load::Report { target, open: load.open });
+            self.doubts.hear(target, load.strikes, now);
+        }
+        self.loads.report(Peers::key(sender), loads, now);
+        if let Some(row) = self.peers.get_mut(sender) {
+            row.revision = report.revision;
+            row.plan_version = report.plan_version;
+            row.is_leaving = report.is_leaving;
+        }
+    }
+
+    /// Own state, for peers.
+    pub fn report(&self) -> Report {
+        let loads = (0..self.catalog.size())
+            .filter_map(|index| {
+                let target = self.catalog.target(index)?;
+                let (open, strikes) = (self.loads.own(index), self.doubts.strikes(index));
+                (open + strikes > 0).then_some(Load { token: target.token, open, strikes })
+            })
+            .collect();
+        Report {
+            revision: self.catalog.revision(),
+            plan_version: self.catalog.plan().version,
+            is_leaving: self.is_leaving,
+            loads,
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/path/verdict.rs
@@ -0,0 +1,115 @@
+//! What becomes of a packet, why, and what is worth a log line.
+
+use std::{fmt, net::SocketAddrV4, sync::Arc};
+
+use crate::relay::{Token, catalog::State};
+
+/// Why a packet cannot be judged yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// No plan is known.
+    Plan,
+    /// The plan has no such route.
+    Route,
+    /// No target has the token.
+    Token,
+    /// The route's services have no target.
+    Targets,
+    /// What was known before a pause is not used.
+    Pause,
+}
+
+/// Why a flow is refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// The plan dropped the route.
+    Dropped,
+    /// This instance's part of the room in front of busy targets is used up.
+    Spent,
+    /// All targets are busy for longer than the class may wait.
+    Full {
+        /// Shortest wait, in milliseconds.
+        wait_ms: f32,
+        /// Longest wait that the class may have, in milliseconds.
+        limit_ms: f32,
+    },
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Dropped => f.write_str("the plan dropped the route"),
+            Refusal::Spent => f.write_str("this instance's part of the room is used up"),
+            Refusal::Full { wait_ms, limit_ms } => {
+                write!(f, "shortest wait {wait_ms:.0} ms, longest allowed {limit_ms:.0} ms")
+            }
+        }
+    }
+}
+
+/// Why a packet goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It names no target and opens no flow.
+    NoToken,
+    /// Its token names a target of a service that its route does not have.
+    Foreign,
+    /// It belongs to a route that the plan dropped.
+    Dropped,
+}
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// Target's index.
+    pub target: usize,
+    /// Target's address.
+    pub address: SocketAddrV4,
+    /// Number in front of the packet.
+    pub number: u64,
+    /// Token that the packet carries on.
+    pub token: Token,
+}
+
+/// What to do with a packet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it on.
+    Forward(Way),
+    /// Reset the flow, which has not opened.
+    Refuse(Refusal),
+    /// Drop it.
+    Drop(Loss),
+    /// Keep it until more is known, or drop it.
+    Wait(Unknown),
+    /// Keep it and ask again soon: no slot is free yet, and there is still time.
+    Hold,
+}
+
+/// What happened that is worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A copy of an opening packet came: the target did not answer.
+    Unanswered {
+        /// Target's name.
+        target: Arc<str>,
+        /// In a row, as this instance counts.
+        strikes: u32,
+        /// Client's end.
+        client: SocketAddrV4,
+    },
+    /// The instance was paused.
+    Paused {
+        /// Length of the gap, in milliseconds.
+        gap_ms: u64,
+    },
+    /// A target changed.
+    Target {
+        /// Target's name.
+        target: Arc<str>,
+        /// Its state.
+        state: State,
+        /// Revision of the store.
+        revision: u64,
+    },
+}
