--- a/crates/ragwortlbd/tests/packet_path.rs
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -13,6 +13,7 @@
 use ragwortlb_standin::{
     packets::{
         client::{Client, Outcome},
+        forms,
         store::Store,
         target::Target,
     },
@@ -56,28 +57,6 @@
     folder
 }
 
-fn beat(target: usize, address: SocketAddrV4, state: &str) -> String {
-    format!(
-        r#"{{"service":"booking","address":"{address}","zone":"pa","version":"v1","slots":3,
-            "state":"{state}","warmupLeftMs":0,"seq":{target},"born":1700000000000}}"#
-    )
-}
-
-fn config(version: u64, ports: &[u16]) -> String {
-    let route = |port| {
-        format!(
-            r#"{{"name":"r-{port}","host":"198.18.0.1","prefix":"/{port}/","type":"idempotent",
-                "timeoutMs":1500,"targetLatencyMs":250,"priority":1,"service":"booking","maxAttempts":2}}"#
-        )
-    };
-    let routes: Vec<String> = ports.iter().map(route).collect();
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"booking","healthPath":"/health",
-            "maxConns":2000,"protocol":"h1","tls":false}}],"limits":{{"idleTimeoutMs":15000}}}}"#,
-        routes.join(",")
-    )
-}
-
 impl World {
     /// Two instances before two targets; `net` keeps the addresses of tests apart.
     async fn start(net: u8) -> World {
@@ -87,33 +66,32 @@
         };
         let at = |host, port| SocketAddrV4::new(Ipv4Addr::new(127, net, 0, host), port);
         let store = Store::start(at(1, store_port)).await.unwrap();
-        store.write("op/config", Some(config(1, &[443]).as_bytes()));
+        store.write(forms::CONFIG_KEY, Some(forms::config(1, &[443]).as_bytes()));
         let mut targets = Vec::new();
         for index in 0..2 {
             let address = at(20 + index as u8, target_port);
             let (name, number) = (format!("i-{:08x}", index + 16), index as u64 + 16);
             targets.push(Target::start(address, number, &name, packet_port).await.unwrap());
-            store.write(&format!("servers/{name}"), Some(beat(index, address, "ready").as_bytes()));
+            store.write(&forms::entry_key(&name), Some(forms::entry(index, address).as_bytes()));
         }
-        store.write("servers/i-99", Some(b"not an entry"));
+        store.write(&forms::entry_key("i-99"), Some(b"not an entry"));
         let instances = (0..2)
             .map(|index| {
                 let ip = 10 + index;
                 let (packets, ready) = (at(ip, packet_port), at(ip, ready_port));
-                let settings = format!(
-                    "nodeName=edge-{net}-{index}\nip={}\nzone=pa\nlisten.datagramAddr={packets}\n\
-                     listen.ready={ready}\ninternalPorts={news_port},{}\nplatform.address={}\n\
-                     unknown.key=1\n",
-                    packets.ip(),
-                    news_port + 1,
-                    at(1, store_port)
-                );
+                let settings = forms::Settings {
+                    name: format!("edge-{net}-{index}"),
+                    packets,
+                    ready,
+                    internal_port: news_port,
+                    store: at(1, store_port),
+                };
                 let path = folder("packet-path").join(format!("{net}-{index}.conf"));
-                fs::write(&path, settings).unwrap();
+                fs::write(&path, settings.to_text()).unwrap();
                 let log = fs::File::create(path.with_extension("log")).unwrap();
                 let child = Command::new(env!("CARGO_BIN_EXE_ragwortlbd"))
                     .arg("--platform")
-                    .env("RAGWORTLB_CONFIG", &path)
+                    .env(forms::SETTINGS_VARIABLE, &path)
                     .stdout(Stdio::null())
                     .stderr(log)
                     .spawn()
@@ -190,12 +168,12 @@
 #[tokio::test]
 async fn changed_routes() {
     let mut world = World::start(62).await;
-    world.store.write("op/config", Some(config(5, &[443, 444]).as_bytes()));
+    world.store.write(forms::CONFIG_KEY, Some(forms::config(5, &[443, 444]).as_bytes()));
     world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
-    world.store.write("op/config", Some(b"not a configuration"));
+    world.store.write(forms::CONFIG_KEY, Some(b"not a configuration"));
     assert!(matches!(world.request(LATER).await, Outcome::Answer(_)));
     world.store.compact();
-    world.store.write("op/config", Some(config(9, &[443]).as_bytes()));
+    world.store.write(forms::CONFIG_KEY, Some(forms::config(9, &[443]).as_bytes()));
     world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| *outcome == Outcome::Refused).await;
     assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)));
 }
@@ -209,7 +187,7 @@
         assert!(matches!(world.request(ROUTE).await, Outcome::Answer(_)));
     }
     world.store.set_down(false);
-    world.store.write("op/config", Some(config(2, &[443, 444]).as_bytes()));
+    world.store.write(forms::CONFIG_KEY, Some(forms::config(2, &[443, 444]).as_bytes()));
     world.wait_outcome(LATER, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
 }
 
