Count a flow only where it was placed, and remember it for further requests

Cause, traced from packet_path, which failed twice (calm_requests, changed_routes, store_outage): its client sends the packets of a flow through instances in turn. An instance that saw a request but not the opening packet counted the flow for 2 s, as its end went elsewhere, and soon refused everything as full. Ruled out: load (it failed on an idle machine too). Now only the placing instance counts a flow, until its end or 2 s without a request, and remembers an open one for further requests. relay_flood 8, relay_tokens 9, packet_path 4 tests pass.

--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -46,7 +46,9 @@
     /// Whether the target looked idle when the flow was placed there, so that its
     /// time shows the target and not a queue.
     pub is_sample: bool,
-    /// Until when it counts.
+    /// Whether it counts: from its opening or a request on, for a time.
+    pub counts: bool,
+    /// Until when it counts, or is remembered if it does not.
     pub expires: Time,
 }
 
@@ -86,17 +88,29 @@
         self.table.remove(&key)
     }
 
-    /// Ends all records whose time is over.
-    pub fn expire(&mut self, now: Time) -> Vec<Expired> {
-        self.table
-            .extract_if(|_, flow| flow.expires <= now)
-            .map(|(key, flow)| Expired { key, flow })
-            .collect()
+    /// Ends the time of records: those of open flows are remembered for `remember_ms`,
+    /// as further requests may come, the others are forgotten. Returns the flows that
+    /// count no longer.
+    pub fn expire(&mut self, now: Time, remember_ms: u64) -> Vec<Expired> {
+        let mut ended = Vec::new();
+        self.table.retain(|key, flow| {
+            if flow.expires > now {
+                return true;
+            }
+            if !flow.counts {
+                return false;
+            }
+            ended.push(Expired { key: *key, flow: flow.clone() });
+            flow.counts = false;
+            flow.expires = now + remember_ms;
+            flow.is_open
+        });
+        ended
     }
 
     /// Lets no record that exists now count beyond a time.
     pub fn shorten(&mut self, limit: Time) {
-        for flow in self.table.values_mut() {
+        for flow in self.table.values_mut().filter(|flow| flow.counts) {
             flow.expires = flow.expires.min(limit);
         }
     }
@@ -106,14 +120,14 @@
         self.table.clear();
     }
 
-    /// Number of records.
+    /// Number of flows that count.
     pub fn len(&self) -> usize {
-        self.table.len()
+        self.table.values().filter(|flow| flow.counts).count()
     }
 
-    /// Reports whether there is no record.
+    /// Reports whether no flow counts.
     pub fn is_empty(&self) -> bool {
-        self.table.is_empty()
+        self.len() == 0
     }
 }
 
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -211,26 +211,24 @@
         match packet.kind {
             Kind::Open { .. } => {}
             Kind::Data { request } => {
-                let expires = now + FLOW_BOUND_MS;
-                match self.flows.get_mut(key) {
-                    Some(flow) => {
-                        let is_first = !flow.is_open;
-                        flow.is_open = true;
-                        if request {
-                            flow.active = now;
-                        }
-                        if request || is_first {
-                            flow.expires = expires;
-                        }
-                        if is_first {
-                            self.answered(target, now);
-                        }
-                    }
-                    None if request => self.start(
-                        key,
-                        Flow { target, opened: now, active: now, is_open: true, is_sample: false, expires },
-                    ),
-                    None => {}
+                // A flow that was placed elsewhere counts there; its end may not come here.
+                let Some(flow) = self.flows.get_mut(key) else {
+                    return;
+                };
+                let is_first = !flow.is_open;
+                flow.is_open = true;
+                if request {
+                    flow.active = now;
+                }
+                if request && !flow.counts {
+                    flow.counts = true;
+                    self.loads.start(flow.target);
+                }
+                if request || is_first {
+                    flow.expires = now + FLOW_BOUND_MS;
+                }
+                if is_first {
+                    self.answered(target, now);
                 }
             }
             Kind::Close | Kind::Abort => {
@@ -239,7 +237,9 @@
                 let Some(flow) = flow else {
                     return;
                 };
-                self.loads.end(flow.target);
+                if flow.counts {
+                    self.loads.end(flow.target);
+                }
                 if flow.is_sample && flow.target == target && packet.kind == Kind::Close {
                     self.loads.sample(target, service, now.since(flow.opened), now);
                 }
@@ -258,7 +258,7 @@
 
     fn start(&mut self, key: Key, flow: Flow) {
         self.loads.start(flow.target);
-        if let Some(former) = self.flows.insert(key, flow) {
+        if let Some(former) = self.flows.insert(key, flow).filter(|former| former.counts) {
             self.loads.end(former.target);
         }
     }
@@ -274,7 +274,7 @@
         if self.shift.tick(now) {
             self.flows.shorten(now + self.usual_flow_ms());
         }
-        for expired in self.flows.expire(now) {
+        for expired in self.flows.expire(now, self.settings.flow_life_ms) {
             self.loads.end(expired.flow.target);
             if !expired.flow.is_open {
                 self.doubts.strike(expired.flow.target, now);
--- a/src/relay/path/opening.rs
+++ b/src/relay/path/opening.rs
@@ -81,7 +81,9 @@
                 return Verdict::Forward(way);
             }
             self.flows.remove(key);
-            self.loads.end(flow.target);
+            if flow.counts {
+                self.loads.end(flow.target);
+            }
             if !flow.is_open {
                 self.unanswered(now, packet, flow.target);
                 avoid = Some(flow.target);
@@ -170,6 +172,7 @@
                 opened: now,
                 active: now,
                 is_open: false,
+                counts: true,
                 is_sample: is_idle && opening.copy == 0,
                 expires: now + OPEN_BOUND_MS,
             },
