Part large fleets into cells, and report at a pace that falls with the fleet

Ruled out: too few slots (p50 73 ms before the moves, 41% of the slots in use).

Now instances and targets are parted into cells of about six instances that report to each other as a small fleet does; others hear each other at a slower pace. Rows go to the own zone and three instances of each other one, without signs of life of targets that nobody doubts. Moves are seen by a share of the usual ends.

--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -3,7 +3,10 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
-use ragwortlb::relay::news::{MAX_SNAPSHOT_BYTES, Snapshot};
+use ragwortlb::{
+    relay::news::{MAX_SNAPSHOT_BYTES, Snapshot},
+    time::Time,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -24,10 +27,14 @@
 /// Time at the start that is left to the store before peers are asked.
 const START: Duration = Duration::from_millis(250);
 
-/// Looks in a row at which a peer must know more before it is asked, as rows that
-/// were sent at the same time usually arrive in between.
+/// Looks in a row at which rows must be missed before a peer is asked, as some were
+/// only late.
 const LOOKS: u32 = 3;
 
+/// Time without news after which a peer that knows more is asked, in milliseconds: one
+/// call of a reader and a margin.
+const QUIET_MS: u64 = 1_000;
+
 /// Gives snapshots until the process ends.
 pub(super) async fn serve(shared: Rc<Shared>) {
     let address = (shared.settings.ip, shared.settings.snapshot_port);
@@ -65,26 +72,51 @@
 pub(super) async fn catch_up(shared: Rc<Shared>) {
     tokio::time::sleep(START).await;
     let mut behind = 0;
+    let mut progress = Progress::default();
     loop {
         if shared.path.borrow().catalog().plan().version == 0 {
             for seed in shared.settings.seeds.clone() {
                 fetch(&shared, seed).await;
             }
         }
-        match ahead(&shared) {
-            None => behind = 0,
-            Some(peer) => {
-                behind += 1;
-                if behind >= LOOKS {
-                    fetch(&shared, peer).await;
-                    behind = 0;
-                }
-            }
+        behind = if lacks_news(&shared) { behind + 1 } else { 0 };
+        let is_quiet = progress.quiet_ms(&shared, now()) >= QUIET_MS;
+        if (behind >= LOOKS || is_quiet)
+            && let Some(peer) = ahead(&shared)
+        {
+            fetch(&shared, peer).await;
+            behind = 0;
         }
         tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Whether rows were missed, or a peer has a later plan.
+fn lacks_news(shared: &Shared) -> bool {
+    let path = shared.path.borrow();
+    path.is_behind() || path.peers().has_later_plan(path.catalog().plan().version, now())
+}
+
+/// When this instance learned something last.
+#[derive(Debug, Default)]
+struct Progress {
+    revision: u64,
+    plan_version: u64,
+    at: Time,
+}
+
+impl Progress {
+    /// Time since this instance learned something, in milliseconds.
+    fn quiet_ms(&mut self, shared: &Shared, now: Time) -> u64 {
+        let path = shared.path.borrow();
+        let (revision, plan_version) = (path.catalog().revision(), path.catalog().plan().version);
+        if (revision, plan_version) != (self.revision, self.plan_version) {
+            *self = Progress { revision, plan_version, at: now };
+        }
+        now.since(self.at)
+    }
+}
+
 /// One of the peers that know more, drawn so that not all ask the same one.
 fn ahead(shared: &Shared) -> Option<Ipv4Addr> {
     let path = shared.path.borrow();
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -31,9 +31,13 @@
 /// Time after which to look again whether to read.
 const IDLE: Duration = Duration::from_millis(50);
 
-/// Pause after a failed call, in milliseconds.
+/// Pause of a reader after a failed call, in milliseconds.
 const RETRY_MS: u64 = 150;
 
+/// Pause after a failed call of an instance that reads only as it hears nothing, in
+/// milliseconds: each call has its price, and the readers try again sooner.
+const FALLBACK_RETRY_MS: u64 = 1_000;
+
 /// What a follower knows of the store itself.
 #[derive(Debug, Default)]
 struct Follower {
@@ -86,9 +90,11 @@
             Err(error) => {
                 add(&shared.counts.store_failures);
                 follower.note_failure(ended, &error);
-                RETRY_MS
+                let is_reader = shared.path.borrow().is_reader(ended);
+                if is_reader || !follower.is_complete { RETRY_MS } else { FALLBACK_RETRY_MS }
             }
         };
+        shared.is_cut_off.set(follower.failed.is_some());
         end_missing(&shared, &follower, ended);
         tokio::time::sleep(Duration::from_millis(gap_ms)).await;
     }
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -7,15 +7,18 @@
 };
 
 use ragwortlb::{
-    relay::news::{self, Frame, Member, News, Rows},
+    relay::{
+        cadence,
+        news::{self, Frame, Member, News, Rows},
+    },
     time::Time,
 };
 use rand::seq::{IteratorRandom, SliceRandom};
 
 use super::shared::{Shared, add, now};
 
-/// Time between reports.
-const REPORT: Duration = Duration::from_millis(20);
+/// Time between rounds of reports.
+const ROUND: Duration = Duration::from_millis(cadence::REPORT_MS);
 
 /// Time between reports to a peer that is silent, in milliseconds.
 const KNOCK_MS: u64 = 500;
@@ -35,7 +38,7 @@
             Ok(_) => add(&shared.counts.news_refused),
             Err(error) => {
                 log::warn!("E730 news cannot be read: {error}");
-                tokio::time::sleep(REPORT).await;
+                tokio::time::sleep(ROUND).await;
             }
         }
     }
@@ -65,10 +68,18 @@
         }
         News::Rows(rows) => {
             let before = path.catalog().revision();
-            path.take_rows(rows, now);
-            if path.catalog().revision() > before {
+            path.take_rows(rows.clone(), now);
+            let is_later = path.catalog().revision() > before;
+            if is_later {
                 shared.learned.notify_one();
             }
+            // Its own zone hears no rows from a reader that cannot read.
+            let passes_on = is_later && shared.is_cut_off.get() && frame.zone != shared.settings.zone;
+            if passes_on && path.is_reader(now) {
+                drop(path);
+                spread_near(shared, rows);
+                return;
+            }
         }
         News::Members(members) => {
             for member in members.into_iter().filter(|member| member.name != shared.settings.name) {
@@ -100,18 +111,20 @@
 
 /// Sends reports until the process ends.
 pub(super) async fn send(shared: Rc<Shared>) {
-    let mut interval = tokio::time::interval(REPORT);
+    let mut interval = tokio::time::interval(ROUND);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut knocked = Time(0);
+    let mut round = 0;
     loop {
         interval.tick().await;
+        round += 1;
         let now = now();
         let is_young = shared.path.borrow().is_young(now);
         let knocks = now.since(knocked) >= if is_young { YOUNG_KNOCK_MS } else { KNOCK_MS };
         if knocks {
             knocked = now;
         }
-        report(&shared, now, knocks);
+        report(&shared, now, round, knocks);
         if knocks && let Some(peer) = any_peer(&shared, now) {
             introduce(&shared, peer, now);
         }
@@ -123,7 +136,7 @@
     path.peers().live(now).map(|row| row.address).choose(&mut rand::rng())
 }
 
-fn report(shared: &Shared, now: Time, knocks: bool) {
+fn report(shared: &Shared, now: Time, round: u64, knocks: bool) {
     let path = shared.path.borrow();
     let bytes = frame(shared, News::Report(path.report()));
     if knocks {
@@ -133,22 +146,32 @@
             post(shared, &bytes, address);
         }
     }
-    for row in path.peers().live(now) {
+    for row in path.peers().listeners(round, now) {
         post(shared, &bytes, row.address);
     }
 }
 
-/// Sends rows to all peers that are there.
+/// Sends rows to the peers that are to hear them from this instance.
 pub(super) fn spread(shared: &Shared, parts: Vec<Rows>) {
     let path = shared.path.borrow();
+    let audience = path.peers().audience(&shared.settings.zone, now());
     for rows in parts {
         let bytes = frame(shared, News::Rows(rows));
-        for row in path.peers().live(now()) {
+        for row in &audience {
             post(shared, &bytes, row.address);
         }
     }
 }
 
+/// Sends rows of another availability zone's reader to the peers of this one.
+fn spread_near(shared: &Shared, rows: Rows) {
+    let path = shared.path.borrow();
+    let bytes = frame(shared, News::Rows(rows));
+    for row in path.peers().live(now()).filter(|row| row.zone == shared.settings.zone) {
+        post(shared, &bytes, row.address);
+    }
+}
+
 fn frame(shared: &Shared, news: News) -> Vec<u8> {
     let (sender, zone) = (shared.settings.name.clone(), shared.settings.zone.clone());
     Frame { sender, zone, news }.to_bytes()
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -90,6 +90,8 @@
     pub counts: Counts,
     pub refusals: Lines,
     pub unanswered: Lines,
+    /// Whether the last call to the store failed.
+    pub is_cut_off: Cell<bool>,
     /// Told when packets that wait can be judged again.
     pub learned: Notify,
 }
@@ -115,6 +117,7 @@
             counts,
             refusals: Lines::default(),
             unanswered: Lines::default(),
+            is_cut_off: Cell::new(false),
             learned: Notify::new(),
         }))
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -14,6 +14,8 @@
 | [`flows`] | flows that this instance placed, until they end or expire |
 | [`load`] | open flows of each target: own ones and those that peers report |
 | [`budget`] | how much of the room each instance may fill |
+| [`cadence`] | how often instances report, by the size of the fleet |
+| [`cells`] | parts of a large fleet that share a part of the targets |
 | [`mix`] | which classes of requests arrive now |
 | [`place`] | where a new flow goes, or why it is refused |
 | [`doubt`] | targets that do not answer |
@@ -42,7 +44,9 @@
 */
 
 pub mod budget;
+pub mod cadence;
 pub mod catalog;
+pub mod cells;
 pub mod doubt;
 pub mod flows;
 pub mod load;
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Class, Entry, Plan, Token};
+use super::{Class, Entry, Plan, Token, cells::Cell};
 use crate::time::Time;
 
 /// Time after the store's return within which lapsed entries are back, in
@@ -103,6 +103,7 @@
     by_name: HashMap<Arc<str>, usize>,
     services: Vec<Arc<str>>,
     members: Vec<Vec<usize>>,
+    listings: u64,
     routes: HashMap<SocketAddrV4, Place>,
 }
 
@@ -142,6 +143,23 @@
         self.members.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Part of a service's targets that a cell uses: those that take new flows, in the
+    /// order of their tokens.
+    pub fn part(&self, service: usize, cell: Cell) -> Vec<usize> {
+        let takes_new = |target: &&Target| matches!(target.row.state, State::Ready | State::Missing);
+        let token = |index: &usize| self.target(*index).filter(takes_new).map(|target| target.token);
+        let mut ranked: Vec<_> =
+            self.members(service).iter().filter_map(|index| Some((token(index)?, *index))).collect();
+        ranked.sort_unstable();
+        let run = cell.run(ranked.len());
+        ranked[run].iter().map(|(_, index)| *index).collect()
+    }
+
+    /// Count of changes of the lists of targets.
+    pub fn listings(&self) -> u64 {
+        self.listings
+    }
+
     /// Name of a service.
     pub fn service(&self, index: usize) -> &Arc<str> {
         &self.services[index]
@@ -201,13 +219,14 @@
         let is_new_life = row.entry.born_ms != target.row.entry.born_ms
             || row.entry.address != target.row.entry.address
             || row.entry.service != target.row.entry.service;
+        let is_changed = row.state != state
+            || row.entry.slots != target.row.entry.slots
+            || row.entry.zone != target.row.entry.zone;
         self.update(index, row, now);
-        match is_new_life {
-            true => Change::Life(index),
-            false if self.target(index).is_some_and(|target| target.row.state != state) => {
-                Change::State(index)
-            }
-            false => Change::Beat(index),
+        match (is_new_life, is_changed) {
+            (true, _) => Change::Life(index),
+            (false, true) => Change::State(index),
+            (false, false) => Change::Beat(index),
         }
     }
 
@@ -313,6 +332,7 @@
 
     /// Lists the targets of each service anew.
     fn list(&mut self) {
+        self.listings += 1;
         for members in &mut self.members {
             members.clear();
         }
--- a/src/relay/doubt.rs
+++ b/src/relay/doubt.rs
@@ -25,6 +25,13 @@
     tried_at: Time,
 }
 
+impl Doubt {
+    /// Peers' count of unanswered packets, while their word counts.
+    fn others_now(&self, now: Time) -> u32 {
+        if now.since(self.others_at) < WORD_LIFE_MS { self.others } else { 0 }
+    }
+}
+
 /// Time for which a peer's word about a target counts, in milliseconds.
 const WORD_LIFE_MS: u64 = 1_000;
 
@@ -74,13 +81,17 @@
         self.table.get(target).map_or(0, |row| row.own)
     }
 
+    /// Reports whether anyone holds an unanswered packet against a target.
+    pub fn is_struck(&self, target: usize, now: Time) -> bool {
+        self.table.get(target).is_some_and(|row| row.own + row.others_now(now) > 0)
+    }
+
     /// Reports whether a target is left alone now.
     pub fn is_out(&self, target: usize, now: Time) -> bool {
         let Some(row) = self.table.get(target) else {
             return false;
         };
-        let others = if now.since(row.others_at) < WORD_LIFE_MS { row.others } else { 0 };
-        row.own + others >= STRIKES
+        row.own + row.others_now(now) >= STRIKES
     }
 
     /// Reports whether a target that is left alone may be tried with one flow.
--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -137,13 +137,22 @@
     since: Time,
     own: u32,
     foreign: u32,
+    /// Mean number of ends in a slice.
+    usual: f32,
 }
 
 /// Length of a time slice, in milliseconds.
 const SLICE_MS: u64 = 100;
 
-/// Fewest foreign ends in a slice that count as a move.
-const LEAST_FOREIGN: u32 = 3;
+/// Most foreign ends in a slice that are needed to count as a move.
+const MOST_NEEDED: u32 = 3;
+
+/// Foreign ends that are needed, as a share of the ends that a slice usually has: an
+/// instance of a large fleet sees few.
+const NEEDED_SHARE: f32 = 0.5;
+
+/// Share that a new slice has in the mean.
+const SLICE_SHARE: f32 = 0.05;
 
 impl Shift {
     /// Notes the end of a flow, and whether it was placed here.
@@ -159,8 +168,10 @@
         if now.since(self.since) < SLICE_MS {
             return false;
         }
-        let moved = self.foreign >= LEAST_FOREIGN && 2 * self.foreign > self.own;
-        *self = Shift { since: now, ..Shift::default() };
+        let needed = ((NEEDED_SHARE * self.usual) as u32).clamp(1, MOST_NEEDED);
+        let moved = self.foreign >= needed && 2 * self.foreign > self.own;
+        let usual = self.usual + SLICE_SHARE * ((self.own + self.foreign) as f32 - self.usual);
+        *self = Shift { since: now, usual, ..Shift::default() };
         moved
     }
 }
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -15,8 +15,8 @@
 
 use crate::time::Time;
 
-/// Age from which a peer's report no longer counts, in milliseconds: ten reports
-/// missed, and longer than most flows take.
+/// Age from which a report of an instance of the same cell no longer counts, in
+/// milliseconds: ten reports missed, and longer than most flows take.
 pub const REPORT_LIFE_MS: u64 = 250;
 
 /// Share that a new sample has in a mean.
@@ -49,7 +49,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct View {
-    at: Time,
+    /// Until when it counts.
+    until: Time,
     reports: Vec<Report>,
 }
 
@@ -154,19 +155,19 @@
         self.paces[target] = Pace::default();
     }
 
-    /// Takes a peer's report in place of its last one.
-    pub fn report(&mut self, peer: Peer, reports: Vec<Report>, now: Time) {
+    /// Takes a peer's report in place of its last one; it counts until a time.
+    pub fn report(&mut self, peer: Peer, reports: Vec<Report>, until: Time) {
         if let Some(most) = reports.iter().map(|report| report.target).max() {
             self.resize(self.own.len().max(most + 1));
         }
-        self.views.insert(peer, View { at: now, reports });
+        self.views.insert(peer, View { until, reports });
         self.add_up();
     }
 
     /// Drops reports that are too old.
     pub fn expire(&mut self, now: Time) {
         let before = self.views.len();
-        self.views.retain(|_, view| now.since(view.at) < REPORT_LIFE_MS);
+        self.views.retain(|_, view| view.until > now);
         if self.views.len() != before {
             self.add_up();
         }
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -21,6 +21,7 @@
     Kind, Packet, Token,
     budget::{self, Budget},
     catalog::{Catalog, Target},
+    cells::Cell,
     doubt::Doubts,
     flows::{Flow, Flows, Key, Shift},
     load::Loads,
@@ -90,6 +91,11 @@
     mix: Mix,
     shift: Shift,
     budgets: Vec<[Option<Budget>; budget::CLASSES]>,
+    is_behind: bool,
+    /// Targets that the cell uses, by service.
+    homes: Vec<Vec<usize>>,
+    /// Cell and state of the catalog that they were listed for.
+    homes_for: Option<(Cell, u64)>,
 }
 
 impl Path {
@@ -115,6 +121,9 @@
             mix: Mix::default(),
             shift: Shift::default(),
             budgets: Vec::new(),
+            is_behind: false,
+            homes: Vec::new(),
+            homes_for: None,
         }
     }
 
@@ -280,6 +289,9 @@
                 self.doubts.strike(expired.flow.target, now);
             }
         }
+        let is_young = self.is_young(now);
+        self.peers.tick(&self.settings.name, is_young, now);
+        self.choose_homes();
         self.loads.expire(now);
         self.mix.tick(now);
         self.budgets.fill(Default::default());
@@ -288,6 +300,18 @@
         self.catalog.forget(now, self.settings.flow_life_ms);
     }
 
+    /// Lists the targets that this instance's cell uses, if they may have changed.
+    fn choose_homes(&mut self) {
+        let cause = (self.peers.cell(), self.catalog.listings());
+        if self.homes_for == Some(cause) {
+            return;
+        }
+        self.homes_for = Some(cause);
+        let cell = self.peers.cell();
+        let services = 0..self.catalog.services();
+        self.homes = services.map(|service| self.catalog.part(service, cell)).collect();
+    }
+
     /// Time after which a flow has usually ended, in milliseconds.
     fn usual_flow_ms(&self) -> u64 {
         let means = (0..self.catalog.services()).map(|service| self.loads.mean_ms(service));
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -18,12 +18,13 @@
         self.catalog.adopt(plan)
     }
 
-    /// Takes a row; returns whether it was new.
+    /// Takes a row; returns whether peers should hear of it. A sign of life alone
+    /// concerns them only if the target is doubted.
     pub fn apply(&mut self, row: Row, now: Time) -> bool {
         let (name, state, revision) = (row.entry.name.clone(), row.state, row.revision);
         match self.catalog.apply(row, now) {
             Change::None => return false,
-            Change::Beat(_) => return true,
+            Change::Beat(index) => return self.doubts.is_struck(index, now),
             Change::State(_) => {}
             Change::Life(index) => {
                 self.loads.reset(index);
@@ -44,12 +45,18 @@
         for row in rows.rows {
             self.apply(row, now);
         }
+        self.is_behind = !is_next;
         if is_next {
             self.catalog.advance(rows.revision);
         }
         is_next
     }
 
+    /// Reports whether rows were missed that have not been made up for.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
     /// All that is known here.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
@@ -65,12 +72,13 @@
         for row in snapshot.rows {
             self.apply(row, now);
         }
-        self.catalog.advance(snapshot.revision);
+        self.advance(snapshot.revision);
     }
 
     /// Notes that the catalog is complete up to a revision.
     pub fn advance(&mut self, revision: u64) {
         self.catalog.advance(revision);
+        self.is_behind = false;
     }
 
     /// Takes a peer's report.
@@ -83,7 +91,11 @@
             loads.push(load::Report { target, open: load.open });
             self.doubts.hear(target, load.strikes, now);
         }
-        self.loads.report(Peers::key(sender), loads, now);
+        let life_ms = match self.peers.is_mate(sender) {
+            true => load::REPORT_LIFE_MS,
+            false => self.peers.cadence().at_least(load::REPORT_LIFE_MS),
+        };
+        self.loads.report(Peers::key(sender), loads, now + life_ms);
         if let Some(row) = self.peers.get_mut(sender) {
             row.revision = report.revision;
             row.plan_version = report.plan_version;
--- a/src/relay/path/opening.rs
+++ b/src/relay/path/opening.rs
@@ -212,14 +212,16 @@
     /// Instances that place flows, as far as is known. Soon after a start peers may be
     /// there that have not reported yet.
     fn instances(&self, now: Time) -> usize {
-        let known = if self.is_young(now) { self.peers.rows().count() } else { 0 };
-        known.max(self.loads.peers()) + 1
+        let is_one_cell = self.peers.cell().count == 1;
+        let known = if is_one_cell && self.is_young(now) { self.peers.rows().count() } else { 0 };
+        let reporting = if is_one_cell { self.loads.peers() } else { self.peers.mates() };
+        known.max(reporting) + 1
     }
 
     /// Target that is left alone and due for a trial. It must have shown a sign of
     /// life since it was tried last.
     fn trial(&mut self, now: Time, service: usize) -> Option<usize> {
-        let found = self.catalog.members(service).iter().copied().find(|index| {
+        let found = self.homes(service).iter().copied().find(|index| {
             self.doubts.is_out(*index, now)
                 && self.doubts.may_try(*index, now)
                 && self.catalog.target(*index).is_some_and(|target| {
@@ -230,9 +232,18 @@
         Some(found)
     }
 
+    /// Targets that flows of a service are placed on: the cell's part, or all if that is
+    /// empty or not known yet.
+    fn homes(&self, service: usize) -> &[usize] {
+        match self.homes.get(service) {
+            Some(homes) if !homes.is_empty() => homes,
+            _ => self.catalog.members(service),
+        }
+    }
+
     fn list(&self, now: Time, service: usize, avoid: Option<usize>, candidates: &mut Vec<Candidate>) {
         candidates.clear();
-        for &index in self.catalog.members(service) {
+        for &index in self.homes(service) {
             let Some(target) = self.catalog.target(index) else {
                 continue;
             };
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -8,17 +8,25 @@
 differ for a moment, cost calls and nothing more.
 */
 
-use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
-
-use super::load::Peer;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    sync::Arc,
+};
+
+use super::{
+    cadence::{self, Cadence},
+    cells::Cell,
+    load::Peer,
+};
 use crate::{hash, time::Time};
 
-/// Silence after which a peer is no longer counted as there, in milliseconds:
-/// several reports at the slowest pace.
+/// Silence after which a peer of a small fleet is no longer counted as there, in
+/// milliseconds: several reports.
 pub const SILENCE_MS: u64 = 600;
 
-/// Silence of all peers of an availability zone after which it counts as cut off,
-/// in milliseconds.
+/// Silence of all peers of an availability zone after which it counts as cut off in a
+/// small fleet, in milliseconds.
 pub const DARK_MS: u64 = 400;
 
 /// Time for which an availability zone without a word counts as cut off, in
@@ -28,6 +36,10 @@
 /// Silence after which a peer is forgotten, in milliseconds.
 const FORGET_MS: u64 = 120_000;
 
+/// Instances of another availability zone to which a reader passes rows on: enough that
+/// one of them can read and pass on in its own zone.
+const CONTACTS: usize = 3;
+
 /// Another instance.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -53,6 +65,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     table: BTreeMap<Peer, Row>,
+    cadence: Cadence,
+    cell: Cell,
+    mates: BTreeSet<Peer>,
 }
 
 impl Peers {
@@ -63,6 +78,7 @@
 
     /// Notes that an instance exists; its address may be new.
     pub fn meet(&mut self, name: &Arc<str>, zone: &Arc<str>, address: SocketAddrV4, now: Time) {
+        let silence_ms = self.silence_ms();
         let row = self.table.entry(Peers::key(name)).or_insert_with(|| Row {
             name: name.clone(),
             zone: zone.clone(),
@@ -73,7 +89,7 @@
             plan_version: 0,
             is_leaving: false,
         });
-        if row.heard.is_none_or(|heard| now.since(heard) >= SILENCE_MS) {
+        if row.heard.is_none_or(|heard| now.since(heard) >= silence_ms) {
             row.address = address;
         }
     }
@@ -81,8 +97,9 @@
     /// Notes a word from a peer; returns whether it was silent or unknown before.
     pub fn hear(&mut self, name: &Arc<str>, zone: &Arc<str>, from: SocketAddrV4, now: Time) -> bool {
         self.meet(name, zone, from, now);
+        let silence_ms = self.silence_ms();
         let row = self.table.get_mut(&Peers::key(name)).expect("the peer was just noted");
-        let was_silent = row.heard.is_none_or(|heard| now.since(heard) >= SILENCE_MS);
+        let was_silent = row.heard.is_none_or(|heard| now.since(heard) >= silence_ms);
         row.heard = Some(now);
         row.address = from;
         was_silent
@@ -100,7 +117,77 @@
 
     /// Peers that are there.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Row> {
-        self.table.values().filter(move |row| row.heard.is_some_and(|heard| now.since(heard) < SILENCE_MS))
+        let silence_ms = self.silence_ms();
+        self.table.values().filter(move |row| row.heard.is_some_and(|heard| now.since(heard) < silence_ms))
+    }
+
+    /// Pace of reports among the peers that are there.
+    pub fn cadence(&self) -> Cadence {
+        self.cadence
+    }
+
+    /// Cell of this instance.
+    pub fn cell(&self) -> Cell {
+        self.cell
+    }
+
+    /// Other instances of this instance's cell.
+    pub fn mates(&self) -> usize {
+        self.mates.len()
+    }
+
+    /// Reports whether a peer is in this instance's cell.
+    pub fn is_mate(&self, name: &str) -> bool {
+        self.mates.contains(&Peers::key(name))
+    }
+
+    /// Parts the fleet into cells anew. Peers that are only known by name are taken for
+    /// there soon after a start, as they may have started too.
+    pub fn tick(&mut self, own: &str, is_young: bool, now: Time) {
+        let own = Peers::key(own);
+        let mut fleet: BTreeSet<Peer> = self.live(now).map(|row| Peers::key(&row.name)).collect();
+        if is_young {
+            fleet.extend(self.table.iter().filter(|(_, row)| row.heard.is_none()).map(|(peer, _)| *peer));
+        }
+        fleet.insert(own);
+        let instances = fleet.len();
+        let cells = |(rank, peer)| (peer, Cell::of(rank, instances));
+        let ranked: Vec<(Peer, Cell)> = fleet.into_iter().enumerate().map(cells).collect();
+        let own_cell = ranked.iter().find(|(peer, _)| *peer == own).map(|(_, cell)| *cell);
+        self.cell = own_cell.unwrap_or_default();
+        let is_mate = |(peer, cell): &(Peer, Cell)| *peer != own && *cell == self.cell;
+        self.mates = ranked.into_iter().filter(is_mate).map(|(peer, _)| peer).collect();
+        self.cadence = Cadence::of(instances - 1 - self.mates.len());
+    }
+
+    /// Peers to which a report goes in this round: those of the cell in each, the others
+    /// in turn.
+    pub fn listeners(&self, round: u64, now: Time) -> impl Iterator<Item = &Row> {
+        let rounds = self.cadence.report_ms().div_ceil(cadence::REPORT_MS);
+        self.live(now)
+            .zip((0..rounds).cycle())
+            .filter(move |(row, turn)| *turn == round % rounds || self.is_mate(&row.name))
+            .map(|(row, _)| row)
+    }
+
+    fn silence_ms(&self) -> u64 {
+        self.cadence.at_least(SILENCE_MS)
+    }
+
+    /// Peers to which a reader passes rows on: all of its availability zone, and the
+    /// first ones by rank of each other one.
+    pub fn audience(&self, zone: &str, now: Time) -> Vec<&Row> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut found = Vec::new();
+        // The table is in the order of ranks.
+        for row in self.live(now) {
+            let count = counts.entry(&row.zone).or_default();
+            *count += 1;
+            if &*row.zone == zone || *count <= CONTACTS {
+                found.push(row);
+            }
+        }
+        found
     }
 
     /// Reports whether an instance reads the store for its availability zone.
@@ -112,24 +199,39 @@
             .any(|row| Peers::key(&row.name) < own)
     }
 
-    /// Peers that know more than this instance does.
+    /// Peers that know more than this instance does: those with a later plan, if there
+    /// are any.
     pub fn ahead(&self, revision: u64, plan_version: u64, now: Time) -> Vec<&Row> {
-        self.live(now).filter(|row| row.revision > revision || row.plan_version > plan_version).collect()
+        let with_plan: Vec<_> = self.live(now).filter(|row| row.plan_version > plan_version).collect();
+        if !with_plan.is_empty() {
+            return with_plan;
+        }
+        self.live(now).filter(|row| row.revision > revision).collect()
+    }
+
+    /// Reports whether a peer has a later plan.
+    pub fn has_later_plan(&self, plan_version: u64, now: Time) -> bool {
+        self.live(now).any(|row| row.plan_version > plan_version)
     }
 
     /// Other availability zones whose instances have all fallen silent a short time
     /// ago, and since when.
     pub fn dark_zones(&self, own_zone: &str, now: Time) -> Vec<(Arc<str>, Time)> {
-        let mut last: BTreeMap<&Arc<str>, Time> = BTreeMap::new();
+        let mut last: BTreeMap<&Arc<str>, (Time, usize)> = BTreeMap::new();
         for row in self.table.values().filter(|row| &*row.zone != own_zone) {
             if let Some(heard) = row.heard {
-                let time = last.entry(&row.zone).or_default();
+                let (time, count) = last.entry(&row.zone).or_default();
                 *time = heard.max(*time);
+                *count += 1;
             }
         }
+        let is_dark = |heard, count| {
+            let dark_ms = self.cadence.at_least_of(DARK_MS, count);
+            (dark_ms..DARK_LIFE_MS).contains(&now.since(heard))
+        };
         last.into_iter()
-            .filter(|(_, heard)| (DARK_MS..DARK_LIFE_MS).contains(&now.since(*heard)))
-            .map(|(zone, heard)| (zone.clone(), heard))
+            .filter(|(_, (heard, count))| is_dark(*heard, *count))
+            .map(|(zone, (heard, _))| (zone.clone(), heard))
             .collect()
     }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -30,9 +30,12 @@
 /// Tries of a client after the first one.
 const RETRIES: u32 = 2;
 
-/// Time between reports of an instance.
+/// Time between rounds of reports of an instance.
 const REPORT_MS: u64 = 20;
 
+/// Time between reports to instances that are not heard.
+const KNOCK_MS: u64 = 500;
+
 /// Time between ticks of an instance.
 const TICK_MS: u64 = 10;
 
@@ -491,13 +494,20 @@
         if self.frozen[index] || self.silent {
             return;
         }
-        let report = self.paths[index].report();
+        let now = Time(self.now);
+        let path = &self.paths[index];
+        let report = path.report();
+        // Soon after a start, and from time to time, all that lie in the store are told.
+        let tells_all = path.is_young(now) || self.now % KNOCK_MS < REPORT_MS;
+        let mut told = vec![tells_all; self.paths.len()];
+        for row in path.peers().listeners(self.now / REPORT_MS, now) {
+            told[usize::from(row.address.ip().octets()[3])] = true;
+        }
         let name = format!("e-{index}").into();
         let zone = ["pa", "ct", "me"][index % 3].into();
         let from = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index as u8), 7_720);
-        let now = Time(self.now);
         for (other, path) in self.paths.iter_mut().enumerate() {
-            if other != index && !self.frozen[other] {
+            if other != index && !self.frozen[other] && told[other] {
                 path.peers_mut().hear(&name, &zone, from, now);
                 path.hear(&name, &report, now);
                 path.confirm();
