Let readers go by the store, and start large fleets with fewer messages

A reader that took rows of another zone skipped them for its own, whose instances then lacked them. Tests: foreign_rows, reader_goes_by_store.

--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -94,7 +94,7 @@
                 if is_reader || !follower.is_complete { RETRY_MS } else { FALLBACK_RETRY_MS }
             }
         };
-        shared.is_cut_off.set(follower.failed.is_some());
+        shared.path.borrow_mut().note_store(follower.failed.is_some());
         end_missing(&shared, &follower, ended);
         tokio::time::sleep(Duration::from_millis(gap_ms)).await;
     }
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -20,11 +20,11 @@
 /// Time between rounds of reports.
 const ROUND: Duration = Duration::from_millis(cadence::REPORT_MS);
 
-/// Time between reports to a peer that is silent, in milliseconds.
-const KNOCK_MS: u64 = 500;
+/// Rounds after which a peer is told some of the others.
+const INTRODUCTION_ROUNDS: u64 = 25;
 
-/// The same soon after a start, when peers may have started too.
-const YOUNG_KNOCK_MS: u64 = 40;
+/// The same soon after a start, when many do not know each other.
+const YOUNG_INTRODUCTION_ROUNDS: u64 = 2;
 
 /// Time after a pause in which a report may have been sent before it, in milliseconds.
 const STALE_MS: u64 = 60;
@@ -56,7 +56,7 @@
     let now = now();
     let mut path = shared.path.borrow_mut();
     let is_new = path.peers_mut().hear(&frame.sender, &frame.zone, from, now);
-    if is_new {
+    if is_new && shared.peers.take() {
         log::info!("E731 peer {} in {} is there", frame.sender, frame.zone);
     }
     match frame.news {
@@ -68,14 +68,11 @@
         }
         News::Rows(rows) => {
             let before = path.catalog().revision();
-            path.take_rows(rows.clone(), now);
-            let is_later = path.catalog().revision() > before;
-            if is_later {
+            let passes_on = path.take_rows(rows.clone(), &frame.zone, now);
+            if path.catalog().revision() > before {
                 shared.learned.notify_one();
             }
-            // Its own zone hears no rows from a reader that cannot read.
-            let passes_on = is_later && shared.is_cut_off.get() && frame.zone != shared.settings.zone;
-            if passes_on && path.is_reader(now) {
+            if passes_on {
                 drop(path);
                 spread_near(shared, rows);
                 return;
@@ -87,8 +84,9 @@
             }
         }
     }
+    let introduces = is_new && path.peers().introduces(&shared.settings.name, &shared.settings.zone, now);
     drop(path);
-    if is_new {
+    if introduces {
         introduce(shared, from, now);
     }
 }
@@ -113,39 +111,34 @@
 pub(super) async fn send(shared: Rc<Shared>) {
     let mut interval = tokio::time::interval(ROUND);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut knocked = Time(0);
     let mut round = 0;
     loop {
         interval.tick().await;
         round += 1;
         let now = now();
-        let is_young = shared.path.borrow().is_young(now);
-        let knocks = now.since(knocked) >= if is_young { YOUNG_KNOCK_MS } else { KNOCK_MS };
-        if knocks {
-            knocked = now;
-        }
-        report(&shared, now, round, knocks);
-        if knocks && let Some(peer) = any_peer(&shared, now) {
+        report(&shared, now, round);
+        if round.is_multiple_of(introduction_rounds(&shared, now))
+            && let Some(peer) = any_peer(&shared, now)
+        {
             introduce(&shared, peer, now);
         }
     }
 }
 
+fn introduction_rounds(shared: &Shared, now: Time) -> u64 {
+    let path = shared.path.borrow();
+    let is_fast = path.is_young(now) && path.peers().cell().count == 1;
+    if is_fast { YOUNG_INTRODUCTION_ROUNDS } else { INTRODUCTION_ROUNDS }
+}
+
 fn any_peer(shared: &Shared, now: Time) -> Option<SocketAddrV4> {
     let path = shared.path.borrow();
     path.peers().live(now).map(|row| row.address).choose(&mut rand::rng())
 }
 
-fn report(shared: &Shared, now: Time, round: u64, knocks: bool) {
+fn report(shared: &Shared, now: Time, round: u64) {
     let path = shared.path.borrow();
     let bytes = frame(shared, News::Report(path.report()));
-    if knocks {
-        let live: Vec<_> = path.peers().live(now).map(|row| row.address).collect();
-        let silent = path.peers().rows().map(|row| row.address).filter(|address| !live.contains(address));
-        for address in silent {
-            post(shared, &bytes, address);
-        }
-    }
     for row in path.peers().listeners(round, now) {
         post(shared, &bytes, row.address);
     }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -90,8 +90,7 @@
     pub counts: Counts,
     pub refusals: Lines,
     pub unanswered: Lines,
-    /// Whether the last call to the store failed.
-    pub is_cut_off: Cell<bool>,
+    pub peers: Lines,
     /// Told when packets that wait can be judged again.
     pub learned: Notify,
 }
@@ -117,7 +116,7 @@
             counts,
             refusals: Lines::default(),
             unanswered: Lines::default(),
-            is_cut_off: Cell::new(false),
+            peers: Lines::default(),
             learned: Notify::new(),
         }))
     }
@@ -130,6 +129,7 @@
     /// Logs what the path noted.
     pub fn log_notes(&self) {
         self.refusals.refill(now(), "refusals");
+        self.peers.refill(now(), "peers");
         self.unanswered.refill(now(), "targets that did not answer");
         let notes = self.path.borrow_mut().take_notes();
         for note in notes {
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -92,6 +92,7 @@
     shift: Shift,
     budgets: Vec<[Option<Budget>; budget::CLASSES]>,
     is_behind: bool,
+    is_cut_off: bool,
     /// Targets that the cell uses, by service.
     homes: Vec<Vec<usize>>,
     /// Cell and state of the catalog that they were listed for.
@@ -122,6 +123,7 @@
             shift: Shift::default(),
             budgets: Vec::new(),
             is_behind: false,
+            is_cut_off: false,
             homes: Vec::new(),
             homes_for: None,
         }
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -38,18 +38,33 @@
         true
     }
 
-    /// Takes rows that a reader passed on; returns whether this instance is complete
-    /// up to their revision.
-    pub fn take_rows(&mut self, rows: Rows, now: Time) -> bool {
-        let is_next = rows.after <= self.catalog.revision();
+    /// Takes rows that a reader of an availability zone passed on; returns whether peers
+    /// of this one should hear them from here.
+    ///
+    /// A reader that reads goes by the store alone, as its own zone would miss what it
+    /// skips. One that cannot read passes on what those of other zones tell it.
+    pub fn take_rows(&mut self, rows: Rows, zone: &str, now: Time) -> bool {
+        let is_near = zone == &*self.settings.zone;
+        let is_reader = self.is_reader(now);
+        if is_reader && !is_near && !self.is_cut_off {
+            return false;
+        }
+        let before = self.catalog.revision();
+        let is_next = rows.after <= before;
         for row in rows.rows {
             self.apply(row, now);
         }
-        self.is_behind = !is_next;
         if is_next {
-            self.catalog.advance(rows.revision);
+            self.advance(rows.revision);
+        } else if is_near {
+            self.is_behind = true;
         }
-        is_next
+        is_reader && !is_near && self.catalog.revision() > before
+    }
+
+    /// Notes whether this instance can read the store.
+    pub fn note_store(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
     }
 
     /// Reports whether rows were missed that have not been made up for.
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -36,6 +36,12 @@
 /// Silence after which a peer is forgotten, in milliseconds.
 const FORGET_MS: u64 = 120_000;
 
+/// Time between reports to a peer that is silent, in milliseconds.
+const KNOCK_MS: u64 = 500;
+
+/// The same to one of the cell soon after a start, when it may have started too.
+const MATE_KNOCK_MS: u64 = 40;
+
 /// Instances of another availability zone to which a reader passes rows on: enough that
 /// one of them can read and pass on in its own zone.
 const CONTACTS: usize = 3;
@@ -160,14 +166,26 @@
         self.cadence = Cadence::of(instances - 1 - self.mates.len());
     }
 
-    /// Peers to which a report goes in this round: those of the cell in each, the others
-    /// in turn.
+    /// Peers to which a report goes in this round. Those of the cell have their turn in
+    /// each, or in every second one until they are heard; the others one after the
+    /// other, and silent ones not more often than each [`KNOCK_MS`].
     pub fn listeners(&self, round: u64, now: Time) -> impl Iterator<Item = &Row> {
-        let rounds = self.cadence.report_ms().div_ceil(cadence::REPORT_MS);
-        self.live(now)
-            .zip((0..rounds).cycle())
-            .filter(move |(row, turn)| *turn == round % rounds || self.is_mate(&row.name))
-            .map(|(row, _)| row)
+        let silence_ms = self.silence_ms();
+        let rounds = |time_ms: u64| time_ms.div_ceil(cadence::REPORT_MS);
+        let report_rounds = rounds(self.cadence.report_ms());
+        let knock_rounds = rounds(self.cadence.report_ms().max(KNOCK_MS));
+        let places = self.table.iter().zip(0..);
+        let due = move |(peer, row): (&Peer, &Row), place: u64| {
+            let is_live = row.heard.is_some_and(|heard| now.since(heard) < silence_ms);
+            let gap = match (is_live, self.mates.contains(peer)) {
+                (true, true) => 1,
+                (false, true) => rounds(MATE_KNOCK_MS),
+                (true, false) => report_rounds,
+                (false, false) => knock_rounds,
+            };
+            (round + place).is_multiple_of(gap)
+        };
+        places.filter(move |(entry, place)| due(*entry, *place)).map(|((_, row), _)| row)
     }
 
     fn silence_ms(&self) -> u64 {
@@ -190,6 +208,12 @@
         found
     }
 
+    /// Reports whether an instance tells a new peer who else is there: in a fleet of
+    /// several cells the readers do, as they see who registers.
+    pub fn introduces(&self, name: &str, zone: &str, now: Time) -> bool {
+        self.cell.count == 1 || self.is_reader(name, zone, now)
+    }
+
     /// Reports whether an instance reads the store for its availability zone.
     pub fn is_reader(&self, name: &str, zone: &str, now: Time) -> bool {
         let own = Peers::key(name);
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -61,14 +61,49 @@
     assert!(frame(News::Members(members)).to_bytes().len() <= MAX_FRAME_BYTES);
 }
 
+/// Path in `pa` that is complete up to revision 5; it reads for its zone if no instance
+/// of a lower rank is there.
+fn complete(is_reader: bool) -> Path {
+    let mut path = Path::new(Settings { name: "e-1".into(), zone: "pa".into(), ..Settings::default() });
+    path.advance(5);
+    let below = (2..).map(|index| format!("e-{index}")).find(|name| Peers::key(name) < Peers::key("e-1"));
+    if !is_reader {
+        path.peers_mut().hear(&below.unwrap().into(), &"pa".into(), address(2), Time(1));
+    }
+    path
+}
+
+fn told(after: u64, revision: u64) -> Rows {
+    Rows { after, revision, rows: Vec::new() }
+}
+
 #[test]
 fn lost_rows() {
-    let mut path = Path::new(Settings::default());
-    path.advance(5);
-    let later = Rows { after: 7, revision: 9, rows: rows(1) };
-    assert!(!path.take_rows(later, Time(1)));
+    let mut path = complete(false);
+    path.take_rows(Rows { after: 7, revision: 9, rows: rows(1) }, "pa", Time(1));
     assert_eq!(path.catalog().revision(), 5, "a gap is not taken for complete");
-    assert!(path.take_rows(Rows { after: 4, revision: 9, rows: Vec::new() }, Time(1)));
+    assert!(path.is_behind());
+    path.take_rows(told(4, 9), "pa", Time(1));
+    assert_eq!(path.catalog().revision(), 9);
+    assert!(!path.is_behind());
+}
+
+#[test]
+fn foreign_rows() {
+    let mut path = complete(false);
+    assert!(!path.take_rows(told(7, 9), "ct", Time(1)));
+    assert!(!path.is_behind(), "the reader of the own zone tells what lies between");
+    assert!(!path.take_rows(told(5, 9), "ct", Time(1)), "only a reader passes rows on");
+    assert_eq!(path.catalog().revision(), 9);
+}
+
+#[test]
+fn reader_goes_by_store() {
+    let mut path = complete(true);
+    assert!(!path.take_rows(told(5, 9), "ct", Time(1)));
+    assert_eq!(path.catalog().revision(), 5, "its zone would miss the rows up to 9");
+    path.note_store(true);
+    assert!(path.take_rows(told(5, 9), "ct", Time(1)), "cut off, it passes them on");
     assert_eq!(path.catalog().revision(), 9);
 }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -33,8 +33,8 @@
 /// Time between rounds of reports of an instance.
 const REPORT_MS: u64 = 20;
 
-/// Time between reports to instances that are not heard.
-const KNOCK_MS: u64 = 500;
+/// Time between looks at who lies in the store.
+const STORE_MS: u64 = 500;
 
 /// Time between ticks of an instance.
 const TICK_MS: u64 = 10;
@@ -498,7 +498,7 @@
         let path = &self.paths[index];
         let report = path.report();
         // Soon after a start, and from time to time, all that lie in the store are told.
-        let tells_all = path.is_young(now) || self.now % KNOCK_MS < REPORT_MS;
+        let tells_all = path.is_young(now) || self.now % STORE_MS < REPORT_MS;
         let mut told = vec![tells_all; self.paths.len()];
         for row in path.peers().listeners(self.now / REPORT_MS, now) {
             told[usize::from(row.address.ip().octets()[3])] = true;
