Take news that nothing changed for news, and let the next by rank take over reading

A sign of life of a target does not change the store's revision, and an instance took a revision that stood still for a reader that had fallen silent. Now each reading tells how fresh it is, and whoever reads as nobody told anything tells the others; the next by rank does so first.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -49,7 +49,7 @@
         };
         path.apply(Row { entry, state: State::Ready, revision: 1 }, Time(0));
     }
-    path.advance(1);
+    path.advance(1, Time(0));
     path
 }
 
--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -3,13 +3,12 @@
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
-use ragwortlb::{
-    relay::news::{MAX_SNAPSHOT_BYTES, Snapshot},
-    time::Time,
-};
+use ragwortlb::relay::news::{MAX_SNAPSHOT_BYTES, Snapshot};
+use rand::seq::IteratorRandom;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinHandle,
     time::timeout,
 };
 
@@ -24,16 +23,23 @@
 /// Time between looks whether a peer knows more.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Time at the start that is left to the store before peers are asked.
-const START: Duration = Duration::from_millis(250);
+/// Time between looks before the first plan is known.
+const FIRST_LOOK: Duration = Duration::from_millis(50);
+
+/// Peers that are asked at the same time before the first plan is known.
+const MOST_ASKED: usize = 3;
+
+/// Snapshots that are given at the same time; whoever asks for more asks another peer.
+const MOST_GIVEN: usize = 6;
 
 /// Looks in a row at which rows must be missed before a peer is asked, as some were
 /// only late.
 const LOOKS: u32 = 3;
 
 /// Time without news after which a peer that knows more is asked, in milliseconds: one
-/// call of a reader and a margin.
-const QUIET_MS: u64 = 1_000;
+/// call of a reader and a margin,
+/// and the time in which another instance takes over.
+const QUIET_MS: u64 = 1_400;
 
 /// Gives snapshots until the process ends.
 pub(super) async fn serve(shared: Rc<Shared>) {
@@ -45,6 +51,8 @@
             return;
         }
     };
+    // One count for each snapshot that is being given, beside this one.
+    let giving = Rc::new(());
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -53,8 +61,15 @@
                 continue;
             }
         };
+        if Rc::strong_count(&giving) > MOST_GIVEN {
+            continue;
+        }
         let bytes = shared.path.borrow().snapshot().to_bytes();
-        tokio::task::spawn_local(give(stream, bytes));
+        let place = giving.clone();
+        tokio::task::spawn_local(async move {
+            give(stream, bytes).await;
+            drop(place);
+        });
     }
 }
 
@@ -70,17 +85,11 @@
 
 /// Fetches snapshots from peers that know more, until the process ends.
 pub(super) async fn catch_up(shared: Rc<Shared>) {
-    tokio::time::sleep(START).await;
+    start(&shared).await;
     let mut behind = 0;
-    let mut progress = Progress::default();
     loop {
-        if shared.path.borrow().catalog().plan().version == 0 {
-            for seed in shared.settings.seeds.clone() {
-                fetch(&shared, seed).await;
-            }
-        }
         behind = if lacks_news(&shared) { behind + 1 } else { 0 };
-        let is_quiet = progress.quiet_ms(&shared, now()) >= QUIET_MS;
+        let is_quiet = shared.path.borrow().news_age_ms(now()) >= QUIET_MS;
         if (behind >= LOOKS || is_quiet)
             && let Some(peer) = ahead(&shared)
         {
@@ -91,30 +100,34 @@
     }
 }
 
-/// Whether rows were missed, or a peer has a later plan.
-fn lacks_news(shared: &Shared) -> bool {
-    let path = shared.path.borrow();
-    path.is_behind() || path.peers().has_later_plan(path.catalog().plan().version, now())
+/// Asks seeds and peers until a plan is known. The store is read at the same time; on
+/// a narrow link its answer takes longer than a snapshot.
+async fn start(shared: &Rc<Shared>) {
+    let mut running: Vec<JoinHandle<()>> = Vec::new();
+    while shared.path.borrow().catalog().plan().version == 0 {
+        running.retain(|task| !task.is_finished());
+        if running.len() < MOST_ASKED
+            && let Some(peer) = ahead(shared).or_else(|| any_seed(shared))
+        {
+            running.push(tokio::task::spawn_local(fetch_first(shared.clone(), peer)));
+        }
+        tokio::time::sleep(FIRST_LOOK).await;
+    }
 }
 
-/// When this instance learned something last.
-#[derive(Debug, Default)]
-struct Progress {
-    revision: u64,
-    plan_version: u64,
-    at: Time,
+fn any_seed(shared: &Shared) -> Option<Ipv4Addr> {
+    let others = shared.settings.seeds.iter().filter(|seed| **seed != shared.settings.ip);
+    others.choose(&mut rand::rng()).copied()
 }
 
-impl Progress {
-    /// Time since this instance learned something, in milliseconds.
-    fn quiet_ms(&mut self, shared: &Shared, now: Time) -> u64 {
-        let path = shared.path.borrow();
-        let (revision, plan_version) = (path.catalog().revision(), path.catalog().plan().version);
-        if (revision, plan_version) != (self.revision, self.plan_version) {
-            *self = Progress { revision, plan_version, at: now };
-        }
-        now.since(self.at)
-    }
+async fn fetch_first(shared: Rc<Shared>, peer: Ipv4Addr) {
+    fetch(&shared, peer).await;
+}
+
+/// Whether rows were missed, or a peer has a later plan.
+fn lacks_news(shared: &Shared) -> bool {
+    let path = shared.path.borrow();
+    path.is_behind() || path.peers().has_later_plan(path.catalog().plan().version, now())
 }
 
 /// One of the peers that know more, drawn so that not all ask the same one.
@@ -127,10 +140,9 @@
 }
 
 async fn fetch(shared: &Shared, peer: Ipv4Addr) {
-    if peer == shared.settings.ip {
-        return;
-    }
     match read(peer, shared.settings.snapshot_port).await {
+        // A peer that has just started knows no plan yet.
+        Ok(snapshot) if snapshot.plan.version == 0 => {}
         Ok(snapshot) => {
             log::info!(
                 "E752 took plan {} and revision {} from {peer}",
@@ -140,7 +152,8 @@
             shared.path.borrow_mut().take_snapshot(snapshot, now());
             shared.learned.notify_one();
         }
-        Err(error) => log::info!("E753 no snapshot from {peer}: {error:#}"),
+        Err(error) if shared.peers.take() => log::info!("E753 no snapshot from {peer}: {error:#}"),
+        Err(_) => {}
     }
 }
 
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -22,11 +22,7 @@
 const READ_GAP_MS: u64 = 700;
 
 /// Longest wait of a watch.
-const WAIT: Duration = Duration::from_millis(1_000);
-
-/// Time without news of the store after which an instance reads for itself, in
-/// milliseconds: two calls of a reader, and a margin.
-const STALE_MS: u64 = 1_700;
+const WAIT: Duration = Duration::from_millis(900);
 
 /// Time after which to look again whether to read.
 const IDLE: Duration = Duration::from_millis(50);
@@ -44,8 +40,6 @@
     failed: Option<Time>,
     returned: Time,
     is_complete: bool,
-    advanced: Time,
-    revision: u64,
 }
 
 impl Follower {
@@ -75,7 +69,7 @@
     let mut follower = Follower::default();
     loop {
         let started = now();
-        if !is_due(&shared, &mut follower, started) {
+        if !is_due(&shared, &follower, started) {
             tokio::time::sleep(IDLE).await;
             continue;
         }
@@ -100,17 +94,11 @@
     }
 }
 
-fn is_due(shared: &Shared, follower: &mut Follower, now: Time) -> bool {
+fn is_due(shared: &Shared, follower: &Follower, now: Time) -> bool {
     let path = shared.path.borrow();
-    let revision = path.catalog().revision();
-    if revision > follower.revision {
-        follower.revision = revision;
-        follower.advanced = now;
-    }
     !follower.is_complete
         || path.paused_for(now).is_some()
-        || path.is_reader(now)
-        || now.since(follower.advanced) >= STALE_MS
+        || path.news_age_ms(now) >= path.reads_after_ms(now)
 }
 
 async fn step(shared: &Shared, client: &mut Client, follower: &mut Follower) -> Result<()> {
@@ -145,14 +133,17 @@
     let absent =
         shared.path.borrow().catalog().absent(&present, reading.revision, follower.is_in_trouble(now));
     log::info!("E745 read {} targets at revision {}", present.len(), reading.revision);
-    take_with(shared, follower, reading, absent);
+    let is_reader = shared.path.borrow().is_reader(now);
+    take_with(shared, follower, reading, absent, is_reader);
 }
 
+/// Takes what a watch told. Whoever watches tells the others, as they have heard
+/// nothing either if it is not the reader.
 fn take(shared: &Shared, follower: &Follower, reading: Reading) {
-    take_with(shared, follower, reading, Vec::new());
+    take_with(shared, follower, reading, Vec::new(), true);
 }
 
-fn take_with(shared: &Shared, follower: &Follower, reading: Reading, mut rows: Vec<Row>) {
+fn take_with(shared: &Shared, follower: &Follower, reading: Reading, mut rows: Vec<Row>, tells: bool) {
     let now = now();
     let in_trouble = follower.is_in_trouble(now);
     let after = shared.path.borrow().catalog().revision();
@@ -161,12 +152,11 @@
     }
     let mut path = shared.path.borrow_mut();
     rows.retain(|row| path.apply(row.clone(), now));
-    path.advance(reading.revision);
+    path.advance(reading.revision, now);
     path.confirm();
-    let is_reader = path.is_reader(now);
     drop(path);
     shared.learned.notify_one();
-    if is_reader && after > 0 {
+    if tells && after > 0 {
         spread(shared, news::split(after, reading.revision, rows));
     }
 }
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -43,6 +43,18 @@
 /// service's mean.
 const MOVED_MEANS: f32 = 4.0;
 
+/// Time without news of the store after which the instance next to its reader takes
+/// over, in milliseconds: a call of the reader, its answer and a margin.
+const TAKE_OVER_MS: u64 = 1_250;
+
+/// Time by which each later instance waits longer, in milliseconds: a call and the
+/// news that follow from it.
+const TAKE_OVER_STEP_MS: u64 = 150;
+
+/// Time without news of the store after which any instance reads for itself, in
+/// milliseconds: half of the time in which a target's leave has to be known.
+const STALE_MS: u64 = 1_700;
+
 /// Settings of the path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -92,6 +104,7 @@
     shift: Shift,
     budgets: Vec<[Option<Budget>; budget::CLASSES]>,
     is_behind: bool,
+    told: Time,
     is_cut_off: bool,
     /// Targets that the cell uses, by service.
     homes: Vec<Vec<usize>>,
@@ -123,6 +136,7 @@
             shift: Shift::default(),
             budgets: Vec::new(),
             is_behind: false,
+            told: Time(0),
             is_cut_off: false,
             homes: Vec::new(),
             homes_for: None,
@@ -174,6 +188,16 @@
         !self.is_leaving && self.peers.is_reader(&self.settings.name, &self.settings.zone, now)
     }
 
+    /// Time without news of the store after which this instance reads it, in
+    /// milliseconds. The next one by rank takes over first, and tells the others.
+    pub fn reads_after_ms(&self, now: Time) -> u64 {
+        if self.is_reader(now) {
+            return 0;
+        }
+        let rank = self.peers.rank(&self.settings.name, &self.settings.zone, now) as u64;
+        (TAKE_OVER_MS + rank.saturating_sub(1) * TAKE_OVER_STEP_MS).min(STALE_MS)
+    }
+
     /// Judges a packet that has just arrived.
     pub fn receive(&mut self, now: Time, packet: &Packet) -> Verdict {
         self.judge(now, packet, now)
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -55,7 +55,7 @@
             self.apply(row, now);
         }
         if is_next {
-            self.advance(rows.revision);
+            self.advance(rows.revision, now);
         } else if is_near {
             self.is_behind = true;
         }
@@ -87,13 +87,22 @@
         for row in snapshot.rows {
             self.apply(row, now);
         }
-        self.advance(snapshot.revision);
+        self.catalog.advance(snapshot.revision);
+        self.is_behind = false;
     }
 
-    /// Notes that the catalog is complete up to a revision.
-    pub fn advance(&mut self, revision: u64) {
+    /// Notes that the catalog is complete up to a revision, as the store or its reader
+    /// has just told.
+    pub fn advance(&mut self, revision: u64, now: Time) {
         self.catalog.advance(revision);
         self.is_behind = false;
+        self.told = now;
+    }
+
+    /// Time since the store or its reader told that all is known, in milliseconds. Where
+    /// nothing changes they tell just that.
+    pub fn news_age_ms(&self, now: Time) -> u64 {
+        now.since(self.told)
     }
 
     /// Takes a peer's report.
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -214,13 +214,19 @@
         self.cell.count == 1 || self.is_reader(name, zone, now)
     }
 
-    /// Reports whether an instance reads the store for its availability zone.
-    pub fn is_reader(&self, name: &str, zone: &str, now: Time) -> bool {
+    /// Rank of an instance among those of its availability zone that are there and do not
+    /// leave; the first one reads the store for the others.
+    pub fn rank(&self, name: &str, zone: &str, now: Time) -> usize {
         let own = Peers::key(name);
-        !self
-            .live(now)
+        self.live(now)
             .filter(|row| &*row.zone == zone && !row.is_leaving)
-            .any(|row| Peers::key(&row.name) < own)
+            .filter(|row| Peers::key(&row.name) < own)
+            .count()
+    }
+
+    /// Reports whether an instance reads the store for its availability zone.
+    pub fn is_reader(&self, name: &str, zone: &str, now: Time) -> bool {
+        self.rank(name, zone, now) == 0
     }
 
     /// Peers that know more than this instance does: those with a later plan, if there
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -65,7 +65,7 @@
 /// of a lower rank is there.
 fn complete(is_reader: bool) -> Path {
     let mut path = Path::new(Settings { name: "e-1".into(), zone: "pa".into(), ..Settings::default() });
-    path.advance(5);
+    path.advance(5, Time(0));
     let below = (2..).map(|index| format!("e-{index}")).find(|name| Peers::key(name) < Peers::key("e-1"));
     if !is_reader {
         path.peers_mut().hear(&below.unwrap().into(), &"pa".into(), address(2), Time(1));
@@ -107,6 +107,30 @@
     assert_eq!(path.catalog().revision(), 9);
 }
 
+#[test]
+fn nothing_changed() {
+    let mut path = complete(false);
+    path.take_rows(told(5, 5), "pa", Time(1_000));
+    assert_eq!(path.news_age_ms(Time(1_100)), 100, "no change is news too");
+    path.take_rows(told(7, 9), "pa", Time(2_000));
+    assert_eq!(path.news_age_ms(Time(2_100)), 1_100, "a gap is not");
+}
+
+#[test]
+fn next_by_rank() {
+    let mut path = complete(false);
+    let second = path.reads_after_ms(Time(2));
+    assert!(second > 0, "a reader is there");
+    let reader = Path::reads_after_ms(&complete(true), Time(2));
+    assert_eq!(reader, 0);
+    let lower = (2..).map(|index| format!("e-{index}")).filter(|name| Peers::key(name) < Peers::key("e-1"));
+    for name in lower.take(9) {
+        path.peers_mut().hear(&name.into(), &"pa".into(), address(3), Time(2));
+    }
+    assert!(path.reads_after_ms(Time(3)) > second, "the next by rank is first");
+    assert!(path.reads_after_ms(Time(3)) < 2_000);
+}
+
 #[test]
 fn one_reader_a_zone() {
     let mut peers = Peers::default();
--- a/tests/relay_tokens.rs
+++ b/tests/relay_tokens.rs
@@ -57,7 +57,7 @@
     path.adopt(plan(1, vec![route(BOOKING, "booking"), route(DOCUMENTS, "documents")]));
     path.apply(row("b-1", "booking", 1, 1), Time(0));
     path.apply(row("d-2", "documents", 2, 2), Time(0));
-    path.advance(2);
+    path.advance(2, Time(0));
     path
 }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -536,7 +536,7 @@
     for target in 0..targets {
         path.apply(Row { entry: entry(target, slots), state: State::Ready, revision: 1 }, Time(0));
     }
-    path.advance(1);
+    path.advance(1, Time(0));
     path
 }
 
