Write structured lines to standard output without ever waiting for the reader

Cause: logs went to standard error, and a full pipe held up the thread that moves packets. Lines now wait in a bounded queue for a thread of their own; what does not fit is left out, counted and told (E709). Each decision on an opening packet has a line with its inputs and their age (E721, E724), 20 a second of a kind at most; E722 went into E721.

--- a/crates/ragwortlb-standin/src/fleet.rs
+++ b/crates/ragwortlb-standin/src/fleet.rs
@@ -147,6 +147,7 @@
             .arg("daemon")
             .arg(&path)
             .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(fail(STEP))?)
             .stderr(log)
             .spawn()
             .map_err(fail(STEP))?;
--- a/crates/ragwortlbd/src/lib.rs
+++ b/crates/ragwortlbd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod daemon;
 pub mod links;
+pub mod logs;
 pub mod metrics;
 pub mod operators;
 pub mod plane;
--- a/crates/ragwortlbd/src/program.rs
+++ b/crates/ragwortlbd/src/program.rs
@@ -8,7 +8,7 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::{daemon::Daemon, operators, relay, settings::Settings, spans};
+use crate::{daemon::Daemon, logs, operators, relay, settings::Settings, spans};
 
 /// Exit code for bad settings.
 const REFUSED: u8 = 1;
@@ -38,8 +38,10 @@
 
 /// Runs the program and returns its exit code.
 pub fn main(options: Options) -> ExitCode {
-    env_logger::init_from_env(env_logger::Env::default().default_filter_or("info"));
-    match run(options) {
+    let lines = logs::init();
+    let ended = run(options);
+    lines.flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
--- a/crates/ragwortlbd/src/relay.rs
+++ b/crates/ragwortlbd/src/relay.rs
@@ -2,12 +2,13 @@
 The daemon on the operators' platform: packets in, packets out.
 
 One thread runs everything, so the packet path shares its state without locks.
-Of its modules `packets` moves packets, `news` talks with other instances, `follow`
+Of its modules `packets` moves packets, `decisions` logs what becomes of them, `news` talks with other instances, `follow`
 follows the platform's store, `fetch` gives and takes snapshots, and `register`
 keeps this instance's entry. What they know and decide is in
 [`ragwortlb::relay::path::Path`].
 */
 
+mod decisions;
 mod fetch;
 mod follow;
 mod news;
@@ -62,7 +63,7 @@
     let settings = settings::read()?;
     let leave_ms = LEAVE_MS.min(settings.grace_ms.saturating_sub(END_MS));
     let shared = Shared::new(settings).await?;
-    log::info!("E700 started as {} in {}", shared.settings.name, shared.settings.zone);
+    log::info!(instance:% = shared.settings.name, zone:% = shared.settings.zone; "E700 started");
     tokio::task::spawn_local(packets::run(shared.clone()));
     tokio::task::spawn_local(news::receive(shared.clone()));
     tokio::task::spawn_local(news::send(shared.clone()));
@@ -73,7 +74,7 @@
     tokio::task::spawn_local(answer(shared.clone()));
     wait(signals, &shared.settings).await;
     shared.path.borrow_mut().leave();
-    log::info!("E701 leaves within {leave_ms} ms: it was asked to stop");
+    log::info!(within_ms = leave_ms; "E701 leaves, as it was asked to stop");
     tokio::time::sleep(Duration::from_millis(leave_ms)).await;
     log::info!("E704 stopped");
     Ok(())
@@ -81,7 +82,7 @@
 
 async fn answer(shared: Rc<Shared>) {
     let Err(error) = ready::serve(shared.settings.ready_address, shared.clone()).await;
-    log::error!("E705 {error}");
+    log::error!(error:%; "E705 the address for readiness is not served");
 }
 
 /// Waits for the signal to stop, and reads the settings anew on each reload.
@@ -100,6 +101,6 @@
     match settings::read() {
         Ok(settings) if settings == *current => log::info!("E706 the settings are unchanged"),
         Ok(_) => log::info!("E706 the settings have changed; they hold from the next start"),
-        Err(error) => log::warn!("E707 the settings cannot be used and were not taken: {error}"),
+        Err(error) => log::warn!(error:%; "E707 changed settings are not usable and were not taken"),
     }
 }
--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -47,7 +47,7 @@
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
-            log::error!("E750 snapshots are not served: {error}");
+            log::error!(error:%; "E750 snapshots are not served");
             return;
         }
     };
@@ -57,7 +57,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!("E751 a peer's connection was not taken: {error}");
+                log::warn!(error:%; "E751 a peer's connection was not taken");
                 continue;
             }
         };
@@ -144,15 +144,14 @@
         // A peer that has just started knows no plan yet.
         Ok(snapshot) if snapshot.plan.version == 0 => {}
         Ok(snapshot) => {
-            log::info!(
-                "E752 took plan {} and revision {} from {peer}",
-                snapshot.plan.version,
-                snapshot.revision
-            );
+            let (plan, revision) = (snapshot.plan.version, snapshot.revision);
+            log::info!(peer:%, plan, revision; "E752 took a snapshot");
             shared.path.borrow_mut().take_snapshot(snapshot, now());
             shared.learned.notify_one();
         }
-        Err(error) if shared.peers.take() => log::info!("E753 no snapshot from {peer}: {error:#}"),
+        Err(error) if shared.peers.take() => {
+            log::info!(peer:%, error:% = format!("{error:#}"); "E753 a peer gave no snapshot");
+        }
         Err(_) => {}
     }
 }
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -50,14 +50,14 @@
 
     fn note_failure(&mut self, now: Time, error: &eyre::Report) {
         if self.failed.is_none() {
-            log::warn!("E740 the store is lost: {error:#}");
+            log::warn!(error:% = format!("{error:#}"); "E740 the store is lost");
         }
         self.failed = Some(now);
     }
 
     fn note_success(&mut self, now: Time) {
         if let Some(failed) = self.failed.take() {
-            log::info!("E741 the store is back, {} ms after the last failure", now.since(failed));
+            log::info!(after_ms = now.since(failed); "E741 the store is back");
             self.returned = now;
         }
     }
@@ -132,7 +132,7 @@
         .collect();
     let absent =
         shared.path.borrow().catalog().absent(&present, reading.revision, follower.is_in_trouble(now));
-    log::info!("E745 read {} targets at revision {}", present.len(), reading.revision);
+    log::info!(targets = present.len(), revision = reading.revision; "E745 read all targets");
     let is_reader = shared.path.borrow().is_reader(now);
     take_with(shared, follower, reading, absent, is_reader);
 }
@@ -172,13 +172,13 @@
         }
         Event::TargetEnded(name) => return path.catalog().ending(&name, revision, in_trouble),
         Event::Unreadable { key, target, reason } => {
-            log::warn!("E743 the value of {key} at revision {revision} is not used: {reason}");
+            log::warn!(key:%, revision, reason:%; "E743 a value in the store is not used");
             return path.catalog().ending(&target?, revision, false);
         }
         Event::Plan(plan) => {
             let (version, routes) = (plan.version, plan.routes.len());
             if path.adopt(plan) {
-                log::info!("E744 plan {version} with {routes} routes is in force");
+                log::info!(plan = version, routes, revision; "E744 a plan is in force");
             }
         }
         Event::Instance { name, zone, ip } if name != shared.settings.name => {
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -37,7 +37,7 @@
             Ok((length, SocketAddr::V4(from))) => take(&shared, &buffer[..length], from),
             Ok(_) => add(&shared.counts.news_refused),
             Err(error) => {
-                log::warn!("E730 news cannot be read: {error}");
+                log::warn!(error:%; "E730 news are not read");
                 tokio::time::sleep(ROUND).await;
             }
         }
@@ -57,7 +57,7 @@
     let mut path = shared.path.borrow_mut();
     let is_new = path.peers_mut().hear(&frame.sender, &frame.zone, from, now);
     if is_new && shared.peers.take() {
-        log::info!("E731 peer {} in {} is there", frame.sender, frame.zone);
+        log::info!(peer:% = frame.sender, zone:% = frame.zone; "E731 a peer is there");
     }
     match frame.news {
         News::Report(report) => {
--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -11,7 +11,10 @@
 };
 use ragwortlb_platform::packet;
 
-use super::shared::{Shared, add, now};
+use super::{
+    decisions,
+    shared::{Shared, add, now},
+};
 
 /// Packets that are read before other tasks run.
 const BATCH: usize = 32;
@@ -50,7 +53,7 @@
     let mut out = Vec::with_capacity(packet::MAX_BYTES);
     loop {
         if let Err(error) = shared.packets.readable().await {
-            log::error!("E720 packets cannot be read: {error}");
+            log::error!(error:%; "E720 packets are not read");
             tokio::time::sleep(TICK).await;
         }
         for _ in 0..BATCH {
@@ -76,7 +79,7 @@
     let patience = match verdict {
         Verdict::Hold => u64::MAX,
         Verdict::Wait(unknown) => patience_ms(unknown),
-        _ => return act(shared, &packet, bytes, verdict, out),
+        _ => return act(shared, &packet, bytes, verdict, 0, out),
     };
     if patience == 0 || parked.len() >= MAX_PARKED {
         add(&shared.counts.dropped);
@@ -101,12 +104,13 @@
     true
 }
 
-fn act(shared: &Shared, packet: &Packet, bytes: &[u8], verdict: Verdict, out: &mut Vec<u8>) {
+fn act(shared: &Shared, packet: &Packet, bytes: &[u8], verdict: Verdict, waited_ms: u64, out: &mut Vec<u8>) {
     match verdict {
         Verdict::Forward(way) => {
             packet::forward(bytes, way.number, way.token, out);
             if matches!(packet.kind, Kind::Open { .. }) {
                 add(&shared.counts.placed);
+                decisions::placed(shared, packet, &way, waited_ms);
             }
             add(&shared.counts.forwarded);
             send(shared, out, way.address);
@@ -116,9 +120,7 @@
                 Refusal::Full { .. } | Refusal::Spent => add(&shared.counts.refused_full),
                 Refusal::Dropped => add(&shared.counts.refused_dropped),
             }
-            if shared.refusals.take() {
-                log::info!("E721 refused {} to {}: {refusal}", packet.client, packet.address);
-            }
+            decisions::refused(shared, packet, &refusal, waited_ms);
             refuse(shared, packet);
         }
         Verdict::Drop(_) | Verdict::Wait(_) | Verdict::Hold => add(&shared.counts.dropped),
@@ -166,7 +168,7 @@
                 parked.borrow_mut().push(item);
             }
             Verdict::Wait(unknown) => give_up(shared, &item.packet, unknown),
-            _ => act(shared, &item.packet, &item.bytes, verdict, out),
+            _ => act(shared, &item.packet, &item.bytes, verdict, now.since(item.arrived), out),
         }
     }
     parked.borrow_mut().reverse();
@@ -177,9 +179,7 @@
     match unknown {
         Unknown::Route | Unknown::Targets if opens => {
             add(&shared.counts.refused_unknown);
-            if shared.refusals.take() {
-                log::info!("E722 refused {} to {}: no {unknown:?} known", packet.client, packet.address);
-            }
+            decisions::refused(shared, packet, &unknown, patience_ms(unknown));
             refuse(shared, packet);
         }
         _ => add(&shared.counts.dropped),
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -21,6 +21,8 @@
 use socket2::SockRef;
 use tokio::{net::UdpSocket, sync::Notify};
 
+use crate::logs;
+
 /// Bytes of packets that wait to be read: what arrives while the process waits for
 /// its share of a core.
 const RECEIVE_BYTES: usize = 1024 * 1024;
@@ -76,7 +78,7 @@
         self.written.set(0);
         match self.left_out.replace(0) {
             0 => {}
-            count => log::info!("E723 left out {count} lines on {kind}"),
+            count => log::info!(kind, count; "E723 lines were left out"),
         }
     }
 }
@@ -88,6 +90,7 @@
     pub packets: UdpSocket,
     pub news: UdpSocket,
     pub counts: Counts,
+    pub placements: Lines,
     pub refusals: Lines,
     pub unanswered: Lines,
     pub peers: Lines,
@@ -114,6 +117,7 @@
             packets,
             news,
             counts,
+            placements: Lines::default(),
             refusals: Lines::default(),
             unanswered: Lines::default(),
             peers: Lines::default(),
@@ -128,6 +132,7 @@
 
     /// Logs what the path noted.
     pub fn log_notes(&self) {
+        self.placements.refill(now(), "placements");
         self.refusals.refill(now(), "refusals");
         self.peers.refill(now(), "peers");
         self.unanswered.refill(now(), "targets that did not answer");
@@ -135,12 +140,12 @@
         for note in notes {
             match note {
                 path::Note::Unanswered { target, strikes, client } if self.unanswered.take() => {
-                    log::info!("E710 target {target} did not answer {client}; {strikes} in a row");
+                    log::info!(target:%, client:%, strikes; "E710 a target did not answer");
                 }
                 path::Note::Unanswered { .. } => {}
-                path::Note::Paused { gap_ms } => log::warn!("E711 paused for {gap_ms} ms"),
+                path::Note::Paused { gap_ms } => log::warn!(gap_ms; "E711 the instance was paused"),
                 path::Note::Target { target, state, revision } => {
-                    log::info!("E712 target {target} is {state:?} at revision {revision}");
+                    log::info!(target:%, state:?, revision; "E712 a target changed");
                 }
             }
         }
@@ -180,7 +185,7 @@
         }
         let mut text = String::new();
         if let Err(error) = text::encode(&mut text, &registry) {
-            log::warn!("E708 metrics were not written: {error}");
+            log::warn!(error:%; "E708 metrics were not written");
         }
         text
     }
@@ -190,7 +195,7 @@
 type Metric = (&'static str, &'static str, u64);
 
 impl Shared {
-    fn counters(&self) -> [Metric; 13] {
+    fn counters(&self) -> [Metric; 14] {
         let counts = &self.counts;
         [
             ("packets_forwarded", "Packets sent to targets", counts.forwarded.get()),
@@ -204,6 +209,7 @@
             ("datagrams_unsent", "Datagrams that the network did not take", counts.unsent.get()),
             ("store_calls", "Calls to the platform's store", counts.store_calls.get()),
             ("store_failures", "Calls to the platform's store that failed", counts.store_failures.get()),
+            ("log_lines_left_out", "Log lines that nobody read in time", logs::left_out()),
             ("news_sent", "Messages to peers", counts.news_sent.get()),
             ("news_refused", "Messages of peers that were not valid", counts.news_refused.get()),
         ]
--- a/crates/ragwortlbd/tests/packet_path.rs
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -5,7 +5,7 @@
     fs,
     net::{Ipv4Addr, SocketAddrV4},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     sync::atomic::Ordering,
     time::{Duration, Instant},
 };
@@ -92,7 +92,7 @@
                 let child = Command::new(env!("CARGO_BIN_EXE_ragwortlbd"))
                     .arg("--platform")
                     .env(forms::SETTINGS_VARIABLE, &path)
-                    .stdout(Stdio::null())
+                    .stdout(log.try_clone().unwrap())
                     .stderr(log)
                     .spawn()
                     .unwrap();
--- a/src/relay/path.rs
+++ b/src/relay/path.rs
@@ -16,7 +16,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-pub use self::verdict::{Loss, Note, Refusal, Unknown, Verdict, Way};
+pub use self::verdict::{Chosen, Inputs, Loss, Note, Refusal, Unknown, Verdict, Way};
 use super::{
     Kind, Packet, Token,
     budget::{self, Budget},
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -1,6 +1,6 @@
 //! What the path learns from the store and from peers, and what it tells them.
 
-use super::{Note, Path};
+use super::{Chosen, Inputs, Note, Path};
 use crate::{
     relay::{
         Plan,
@@ -109,6 +109,30 @@
         now.since(self.told)
     }
 
+    /// What opening packets are judged by now.
+    pub fn inputs(&self, now: Time) -> Inputs {
+        let cell = self.peers.cell();
+        Inputs {
+            revision: self.catalog.revision(),
+            plan: self.catalog.plan().version,
+            news_age_ms: self.news_age_ms(now),
+            mates: self.peers.mates() - self.peers.unheard_mates(),
+            cell: (cell.index, cell.count),
+        }
+    }
+
+    /// What is known of a target that was chosen.
+    pub fn chosen(&self, target: usize) -> Option<Chosen> {
+        let entry = &self.catalog.target(target)?.row.entry;
+        Some(Chosen {
+            target: entry.name.clone(),
+            own: self.loads.own(target),
+            open: self.loads.all(target),
+            slots: entry.slots,
+            strikes: self.doubts.strikes(target),
+        })
+    }
+
     /// Takes a peer's report.
     pub fn hear(&mut self, sender: &str, report: &Report, now: Time) {
         let mut loads = Vec::with_capacity(report.loads.len());
--- a/src/relay/path/verdict.rs
+++ b/src/relay/path/verdict.rs
@@ -19,6 +19,18 @@
     Pause,
 }
 
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Unknown::Plan => "no plan is known",
+            Unknown::Route => "the plan has no such route",
+            Unknown::Token => "no target has the token",
+            Unknown::Targets => "the route's services have no target",
+            Unknown::Pause => "what was known before a pause is not used",
+        })
+    }
+}
+
 /// Why a flow is refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
@@ -86,6 +98,36 @@
     Hold,
 }
 
+/// What decided where an opening packet goes, for a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Inputs {
+    /// Revision of the store up to which this instance is complete.
+    pub revision: u64,
+    /// Version of the plan in force.
+    pub plan: u64,
+    /// Time since the store or its reader told that all is known, in milliseconds.
+    pub news_age_ms: u64,
+    /// Instances of the cell whose reports count, beside this one.
+    pub mates: usize,
+    /// Cell, and number of cells.
+    pub cell: (usize, usize),
+}
+
+/// What was known of the target of a placed flow, for a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    /// Target's name.
+    pub target: Arc<str>,
+    /// Open flows there that this instance placed, this one included.
+    pub own: u32,
+    /// The same of all instances that report.
+    pub open: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Opening packets in a row that it did not answer.
+    pub strikes: u32,
+}
+
 /// What happened that is worth a log line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
