Try doubted targets again without a sign of life from the store

Cause: a target that left two opening packets unanswered got no flow any more until its entry changed: a trial asked for a sign of life within a second, and signs of life do not reach the store's history. In the small world a target that was silent for 1 s got 0 flows of 52 to be expected, 5 s later (dead_then_back, failed first). Now the instances of a cell try it in turn, one each 0.5 s, and tell the others when it answers.

--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -138,7 +138,7 @@
 
 fn report(shared: &Shared, now: Time, round: u64) {
     let path = shared.path.borrow();
-    let bytes = frame(shared, News::Report(path.report()));
+    let bytes = frame(shared, News::Report(path.report(now)));
     for row in path.peers().listeners(round, now) {
         post(shared, &bytes, row.address);
     }
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -63,8 +63,6 @@
     pub service: usize,
     /// When its state changed here.
     pub since: Time,
-    /// When its entry was last renewed here.
-    pub beat_at: Time,
     /// When it is no longer slow after its start.
     pub warm_at: Time,
 }
@@ -250,7 +248,7 @@
         }
         let service = self.service_index(&row.entry.service);
         let warm_at = now + row.entry.warm_up_ms;
-        self.targets[index] = Some(Target { row, token, service, since: now, beat_at: now, warm_at });
+        self.targets[index] = Some(Target { row, token, service, since: now, warm_at });
         self.list();
         Change::Life(index)
     }
@@ -264,7 +262,6 @@
             target.since = now;
         }
         if row.state <= State::Leaving {
-            target.beat_at = now;
             target.warm_at = now + row.entry.warm_up_ms;
         }
         let moved = target.service != service || target.row.state != row.state;
--- a/src/relay/doubt.rs
+++ b/src/relay/doubt.rs
@@ -5,7 +5,8 @@
 does next: it goes on, which shows that the target answered, or it sends another
 copy of its opening packet, which shows that it did not. A target that left
 [`STRIKES`] opening packets unanswered in a row, here or at peers, gets no new
-flows. From time to time one flow tries it again.
+flows. From time to time one flow of the cell tries it again. Once it answers
+anyone, that is told, and the others are left with one strike less than it takes.
 */
 
 use crate::time::Time;
@@ -13,19 +14,26 @@
 /// Unanswered opening packets in a row after which a target is left alone.
 pub const STRIKES: u32 = 2;
 
-/// Time between trials of a target that is left alone, in milliseconds.
-pub const TRIAL_MS: u64 = 1_000;
+/// Time between trials of a target that is left alone, of all instances of a cell
+/// together, in milliseconds. A trial that fails makes one request late.
+pub const TRIAL_MS: u64 = 500;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Doubt {
     own: u32,
     others: u32,
     others_at: Time,
+    struck_at: Time,
     good_at: Time,
     tried_at: Time,
 }
 
 impl Doubt {
+    /// Whether the target answered a short time ago.
+    fn is_good(&self, now: Time) -> bool {
+        self.good_at > Time(0) && now.since(self.good_at) < WORD_LIFE_MS
+    }
+
     /// Peers' count of unanswered packets, while their word counts.
     fn others_now(&self, now: Time) -> u32 {
         if now.since(self.others_at) < WORD_LIFE_MS { self.others } else { 0 }
@@ -53,6 +61,7 @@
     pub fn strike(&mut self, target: usize, now: Time) {
         let row = self.row(target);
         row.own = row.own.saturating_add(1);
+        row.struck_at = now;
         row.tried_at = now;
     }
 
@@ -67,7 +76,8 @@
     /// Takes a peer's count of unanswered packets.
     pub fn hear(&mut self, target: usize, strikes: u32, now: Time) {
         let row = self.row(target);
-        if now.since(row.good_at) < WORD_LIFE_MS && row.good_at > Time(0) {
+        if strikes > 0 && row.is_good(now) {
+            row.others_at = now;
             return;
         }
         if strikes >= row.others || now.since(row.others_at) >= WORD_LIFE_MS {
@@ -76,16 +86,28 @@
         }
     }
 
+    /// Takes a peer's word that the target answered it a short time ago.
+    pub fn hear_answer(&mut self, target: usize, now: Time) {
+        let row = self.row(target);
+        // What failed here since may be what the peer does not see.
+        if now.since(row.struck_at) >= WORD_LIFE_MS {
+            row.own = row.own.min(STRIKES - 1);
+            row.others = 0;
+        }
+    }
+
+    /// Reports whether the target answered a short time ago, while peers hold strikes
+    /// against it.
+    pub fn is_refuted(&self, target: usize, now: Time) -> bool {
+        let row = self.table.get(target);
+        row.is_some_and(|row| row.is_good(now) && now.since(row.others_at) < WORD_LIFE_MS)
+    }
+
     /// Own count of unanswered packets.
     pub fn strikes(&self, target: usize) -> u32 {
         self.table.get(target).map_or(0, |row| row.own)
     }
 
-    /// Reports whether anyone holds an unanswered packet against a target.
-    pub fn is_struck(&self, target: usize, now: Time) -> bool {
-        self.table.get(target).is_some_and(|row| row.own + row.others_now(now) > 0)
-    }
-
     /// Reports whether a target is left alone now.
     pub fn is_out(&self, target: usize, now: Time) -> bool {
         let Some(row) = self.table.get(target) else {
@@ -94,9 +116,11 @@
         row.own + row.others_now(now) >= STRIKES
     }
 
-    /// Reports whether a target that is left alone may be tried with one flow.
-    pub fn may_try(&self, target: usize, now: Time) -> bool {
-        self.table.get(target).is_none_or(|row| now.since(row.tried_at) >= TRIAL_MS)
+    /// Reports whether a target that is left alone may be tried with one flow, by one of
+    /// so many instances that try it in turn.
+    pub fn may_try(&self, target: usize, instances: usize, now: Time) -> bool {
+        let gap_ms = TRIAL_MS * instances as u64;
+        self.table.get(target).is_none_or(|row| now.since(row.tried_at) >= gap_ms)
     }
 
     /// Notes that a flow tries the target.
--- a/src/relay/news.rs
+++ b/src/relay/news.rs
@@ -27,7 +27,7 @@
 use crate::Error;
 
 /// Version of the encoding.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Longest datagram, in bytes; one packet on the usual links.
 pub const MAX_FRAME_BYTES: usize = 1_400;
@@ -48,6 +48,8 @@
     pub open: u32,
     /// Opening packets in a row that it did not answer.
     pub strikes: u32,
+    /// Whether it answered a short time ago, against what peers tell of it.
+    pub answers: bool,
 }
 
 /// State of a sender.
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -18,13 +18,12 @@
         self.catalog.adopt(plan)
     }
 
-    /// Takes a row; returns whether peers should hear of it. A sign of life alone
-    /// concerns them only if the target is doubted.
+    /// Takes a row; returns whether peers should hear of it, as it tells more than a sign
+    /// of life.
     pub fn apply(&mut self, row: Row, now: Time) -> bool {
         let (name, state, revision) = (row.entry.name.clone(), row.state, row.revision);
         match self.catalog.apply(row, now) {
-            Change::None => return false,
-            Change::Beat(index) => return self.doubts.is_struck(index, now),
+            Change::None | Change::Beat(_) => return false,
             Change::State(_) => {}
             Change::Life(index) => {
                 self.loads.reset(index);
@@ -142,6 +141,9 @@
             };
             loads.push(load::Report { target, open: load.open });
             self.doubts.hear(target, load.strikes, now);
+            if load.answers {
+                self.doubts.hear_answer(target, now);
+            }
         }
         let life_ms = match self.peers.is_mate(sender) {
             true => load::REPORT_LIFE_MS,
@@ -156,12 +158,14 @@
     }
 
     /// Own state, for peers.
-    pub fn report(&self) -> Report {
+    pub fn report(&self, now: Time) -> Report {
         let loads = (0..self.catalog.size())
             .filter_map(|index| {
                 let target = self.catalog.target(index)?;
                 let (open, strikes) = (self.loads.own(index), self.doubts.strikes(index));
-                (open + strikes > 0).then_some(Load { token: target.token, open, strikes })
+                let answers = self.doubts.is_refuted(index, now);
+                let load = Load { token: target.token, open, strikes, answers };
+                (open + strikes > 0 || answers).then_some(load)
             })
             .collect();
         Report {
--- a/src/relay/path/opening.rs
+++ b/src/relay/path/opening.rs
@@ -7,7 +7,6 @@
         Class, Packet,
         budget::{self, Budget},
         catalog::{State, Target},
-        doubt,
         flows::{Flow, Key},
         place::{Candidate, Choice, Demand},
     },
@@ -218,15 +217,13 @@
         known.max(reporting) + 1
     }
 
-    /// Target that is left alone and due for a trial. It must have shown a sign of
-    /// life since it was tried last.
+    /// Target that is left alone and due for a trial.
     fn trial(&mut self, now: Time, service: usize) -> Option<usize> {
+        let instances = self.peers.mates() + 1;
         let found = self.homes(service).iter().copied().find(|index| {
             self.doubts.is_out(*index, now)
-                && self.doubts.may_try(*index, now)
-                && self.catalog.target(*index).is_some_and(|target| {
-                    target.row.state == State::Ready && now.since(target.beat_at) < doubt::TRIAL_MS
-                })
+                && self.doubts.may_try(*index, instances, now)
+                && self.catalog.target(*index).is_some_and(|target| target.row.state == State::Ready)
         })?;
         self.doubts.note_trial(found, now);
         Some(found)
--- a/tests/relay_flood.rs
+++ b/tests/relay_flood.rs
@@ -132,6 +132,22 @@
     }
 }
 
+#[test]
+fn dead_then_back() {
+    for seed in 1..=3 {
+        let mut world = settled(seed);
+        world.dead[3] = true;
+        world.run_to(4_000);
+        world.dead[3] = false;
+        // The store tells nothing, as the target's entry never lapsed.
+        world.run_to(9_000);
+        world.placed.fill(0);
+        world.run_to(11_000);
+        let mean = world.placed.iter().sum::<u64>() / 14;
+        assert!(2 * world.placed[3] >= mean, "seed {seed}: {} of {mean}", world.placed[3]);
+    }
+}
+
 #[test]
 fn whole_outage() {
     for seed in 1..=3 {
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -132,6 +132,8 @@
     pub silent: bool,
     /// Targets that answer nothing.
     pub dead: Vec<bool>,
+    /// Flows that were placed on each target.
+    pub placed: Vec<u64>,
     loads: Vec<Load>,
     tallies: Vec<Tally>,
     slots: usize,
@@ -176,6 +178,7 @@
             rotation: (0..instances).collect(),
             silent: false,
             dead: vec![false; targets],
+            placed: vec![0; targets],
             tallies: vec![Tally::default(); loads.len()],
             loads,
             slots: slots as usize,
@@ -384,6 +387,9 @@
 
     fn act(&mut self, instance: usize, request: usize, packet: Packet, arrived: u64, verdict: Verdict) {
         let port = packet.client.port();
+        if let Verdict::Forward(way) = verdict {
+            self.placed[way.target] += 1;
+        }
         match verdict {
             Verdict::Forward(way) if !self.dead[way.target] => {
                 let event = Event::Accepted { request, port, target: way.target, token: way.token.0 };
@@ -514,7 +520,7 @@
         }
         let now = Time(self.now);
         let path = &self.paths[index];
-        let report = path.report();
+        let report = path.report(now);
         // From time to time all that lie in the store are told.
         let tells_all = path.peers().rows().next().is_none() || self.now % STORE_MS < REPORT_MS;
         let mut told = vec![tells_all; self.paths.len()];
