--- /dev/null
+++ b/tests/relay_cells.rs
@@ -0,0 +1,128 @@
+//! How a fleet is parted into cells, and how much its instances say.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+use proptest::prelude::*;
+use ragwortlb::{
+    relay::{
+        Token,
+        cells::{CELL_INSTANCES, Cell},
+        news::{Frame, Load, News, Report},
+        peers::Peers,
+    },
+    time::Time,
+};
+
+/// Bytes a second that an instance may spend for control, from docs/CAPACITY.md.
+const CONTROL_BYTES: usize = 27_000;
+
+/// Flows that an instance has open at the size to design for: 31,000 new ones a second
+/// at 580 instances, with 70 ms each.
+const OPEN_FLOWS: u32 = 4;
+
+/// View of an instance that has just heard all others of a fleet.
+fn fleet(instances: usize, own: usize) -> Peers {
+    let mut peers = Peers::default();
+    for index in (0..instances).filter(|index| *index != own) {
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, (index >> 8) as u8, index as u8), 7_720);
+        peers.hear(&name(index).into(), &format!("zone-{}", index % 5).into(), address, Time(1));
+    }
+    peers.tick(&name(own), false, Time(1));
+    peers
+}
+
+fn name(index: usize) -> String {
+    format!("edge-pa-{index}")
+}
+
+proptest! {
+    #[test]
+    fn even_cells(instances in 1usize..700) {
+        let mut sizes = BTreeMap::new();
+        for rank in 0..instances {
+            let cell = Cell::of(rank, instances);
+            prop_assert!(cell.index < cell.count);
+            *sizes.entry(cell.index).or_insert(0usize) += 1;
+        }
+        prop_assert_eq!(sizes.len(), Cell::of(0, instances).count);
+        let (least, most) = (sizes.values().min().unwrap(), sizes.values().max().unwrap());
+        prop_assert!(most - least <= 1);
+        prop_assert!(*most <= 2 * CELL_INSTANCES + 1);
+    }
+
+    #[test]
+    fn every_target_used(count in 1usize..100, targets in 0usize..6_000) {
+        let runs: Vec<_> = (0..count).map(|index| Cell { index, count }.run(targets)).collect();
+        let mut next = 0;
+        for run in runs {
+            prop_assert!(run.start <= next, "no target lies between two cells");
+            prop_assert!(targets == 0 || !run.is_empty());
+            next = next.max(run.end);
+        }
+        prop_assert_eq!(next, targets);
+    }
+
+    #[test]
+    fn one_leaves(instances in 14usize..600, left in 0usize..600) {
+        let left = left % instances;
+        let rank = |rank: usize| if rank > left { rank - 1 } else { rank };
+        let count = Cell::of(0, instances).count;
+        if count == Cell::of(0, instances - 1).count {
+            let stays = |index: &usize| {
+                Cell::of(*index, instances).index == Cell::of(rank(*index), instances - 1).index
+            };
+            let moved = (0..instances).filter(|index| *index != left && !stays(index)).count();
+            prop_assert!(moved <= count, "{moved} of {instances} changed their cell");
+        }
+    }
+}
+
+#[test]
+fn mates_agree() {
+    let fleets: Vec<_> = (0..75).map(|own| fleet(75, own)).collect();
+    for (own, peers) in fleets.iter().enumerate() {
+        for (other, others) in fleets.iter().enumerate().filter(|(other, _)| *other != own) {
+            assert_eq!(peers.is_mate(&name(other)), others.is_mate(&name(own)));
+            assert_eq!(peers.is_mate(&name(other)), peers.cell() == others.cell());
+        }
+    }
+}
+
+/// Bytes of reports that an instance sends in a second.
+fn report_bytes(peers: &Peers) -> usize {
+    let load = |index| Load { token: Token(u32::MAX - index), open: 1, strikes: 0, answers: false };
+    let report = Report {
+        revision: 1_000_000,
+        plan_version: 100_000,
+        is_leaving: false,
+        loads: (0..OPEN_FLOWS).map(load).collect(),
+    };
+    let frame = Frame { sender: "edge-pa-100".into(), zone: "pa".into(), news: News::Report(report) };
+    let reports: usize = (0..50).map(|round| peers.listeners(round, Time(1)).count()).sum();
+    reports * frame.to_bytes().len()
+}
+
+#[test]
+fn bounded_reports() {
+    for instances in [10, 30, 75, 150, 300, 580] {
+        let bytes = report_bytes(&fleet(instances, 0));
+        println!("{instances} instances: {bytes} bytes a second of reports");
+        assert!(bytes <= CONTROL_BYTES, "{instances} instances: {bytes} bytes a second");
+    }
+}
+
+#[test]
+fn everyone_has_a_turn() {
+    let peers = fleet(580, 0);
+    let rounds = peers.cadence().report_ms().div_ceil(20);
+    let mut heard = BTreeMap::new();
+    for round in 0..rounds {
+        for row in peers.listeners(round, Time(1)) {
+            *heard.entry(row.name.clone()).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(heard.len(), 579);
+}
