--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -24,6 +24,14 @@
 /// Longest wait of a watch.
 const WAIT: Duration = Duration::from_millis(900);
 
+/// Bandwidth from which on a whole reading arrives at once, in megabits a second: one of
+/// a large configuration has half a megabyte.
+const WIDE_LINK_MBPS: u64 = 100;
+
+/// Time after the start in which an instance on a narrow link waits for a peer's
+/// snapshot, which is a tenth of a whole reading, in milliseconds.
+const SNAPSHOT_WAIT_MS: u64 = 300;
+
 /// Time after which to look again whether to read.
 const IDLE: Duration = Duration::from_millis(50);
 
@@ -66,7 +74,7 @@
 /// Follows the store until the process ends.
 pub(super) async fn run(shared: Rc<Shared>) {
     let mut client = Client::new(shared.settings.store_address);
-    let mut follower = Follower::default();
+    let mut follower = Follower { is_complete: take_snapshot(&shared).await, ..Follower::default() };
     loop {
         let started = now();
         if !is_due(&shared, &follower, started) {
@@ -94,6 +102,22 @@
     }
 }
 
+/// Waits for a peer's snapshot on a narrow link; returns whether one came, so that only
+/// what is later has to be read.
+async fn take_snapshot(shared: &Shared) -> bool {
+    if shared.settings.link_mbps >= WIDE_LINK_MBPS {
+        return false;
+    }
+    let started = now();
+    while now().since(started) < SNAPSHOT_WAIT_MS {
+        if shared.path.borrow().is_ready() {
+            return true;
+        }
+        tokio::time::sleep(IDLE).await;
+    }
+    false
+}
+
 fn is_due(shared: &Shared, follower: &Follower, now: Time) -> bool {
     let path = shared.path.borrow();
     !follower.is_complete
