Pass on rows that are already known, and let a lost part show as a gap

Ruled out: load (the news was 1.3 s old at most). Found by reading: a reading of several datagrams completed a receiver that lost one of the first parts. Now all rows of a reading are told, and each part asks for the former one; rows of one revision that do not fit are fetched. rows_in_datagrams asked that only the last part completes, which let a lost part go unseen; it now asks for a chain without gaps. Tests: known_rows_passed_on, lost_part, many_rows_of_one_revision.

--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -170,18 +170,13 @@
 fn take_with(shared: &Shared, follower: &Follower, reading: Reading, mut rows: Vec<Row>, tells: bool) {
     let now = now();
     let in_trouble = follower.is_in_trouble(now);
-    let after = shared.path.borrow().catalog().revision();
     for revised in reading.events {
         rows.extend(row(shared, revised, in_trouble, now));
     }
-    let mut path = shared.path.borrow_mut();
-    rows.retain(|row| path.apply(row.clone(), now));
-    path.advance(reading.revision, now);
-    path.confirm();
-    drop(path);
+    let told = shared.path.borrow_mut().take_reading(rows, reading.revision, now);
     shared.learned.notify_one();
-    if tells && after > 0 {
-        spread(shared, news::split(after, reading.revision, rows));
+    if tells && told.after > 0 {
+        spread(shared, news::split(told));
     }
 }
 
@@ -228,5 +223,5 @@
     }
     let revision = path.catalog().revision();
     drop(path);
-    spread(shared, news::split(revision, revision, rows));
+    spread(shared, news::split(news::Rows { after: revision, revision, rows }));
 }
--- a/src/relay/news.rs
+++ b/src/relay/news.rs
@@ -166,16 +166,24 @@
     }
 }
 
-/// Splits rows so that each part fits into a datagram. All parts but the last leave
-/// the receiver at `after`.
-pub fn split(after: u64, revision: u64, rows: Vec<Row>) -> Vec<Rows> {
+/// Splits rows so that each part fits into a datagram. Each part leaves a receiver at the
+/// revision that the next one asks for, so that one that is lost shows as a gap. Rows of
+/// one revision that do not fit are not told: receivers see a gap, and fetch a snapshot.
+pub fn split(told: Rows) -> Vec<Rows> {
+    let Rows { mut after, revision, mut rows } = told;
+    rows.sort_by_key(|row| row.revision);
     let mut parts = Vec::new();
     let mut part = Vec::new();
     let mut bytes = 0;
     for row in rows {
         let size = postcard::experimental::serialized_size(&row).unwrap_or(ROWS_BYTES);
         if bytes + size > ROWS_BYTES && !part.is_empty() {
-            parts.push(Rows { after, revision: after, rows: std::mem::take(&mut part) });
+            let reached = part.last().map_or(after, |last: &Row| last.revision);
+            if reached == row.revision {
+                return vec![Rows { after: revision, revision, rows: Vec::new() }];
+            }
+            parts.push(Rows { after, revision: reached, rows: std::mem::take(&mut part) });
+            after = reached;
             bytes = 0;
         }
         bytes += size;
--- a/src/relay/path/knowledge.rs
+++ b/src/relay/path/knowledge.rs
@@ -18,12 +18,24 @@
         self.catalog.adopt(plan)
     }
 
-    /// Takes a row; returns whether peers should hear of it, as it tells more than a sign
-    /// of life.
-    pub fn apply(&mut self, row: Row, now: Time) -> bool {
+    /// Takes rows that were read from the store up to a revision; returns what peers are
+    /// to hear. That includes rows which this instance already knew, as they may have
+    /// come by a way that not all peers hear.
+    pub fn take_reading(&mut self, rows: Vec<Row>, revision: u64, now: Time) -> Rows {
+        let after = self.catalog.revision();
+        for row in &rows {
+            self.apply(row.clone(), now);
+        }
+        self.advance(revision, now);
+        self.confirm();
+        Rows { after, revision, rows }
+    }
+
+    /// Takes a row, if it is later than what is known.
+    pub fn apply(&mut self, row: Row, now: Time) {
         let (name, state, revision) = (row.entry.name.clone(), row.state, row.revision);
         match self.catalog.apply(row, now) {
-            Change::None | Change::Beat(_) => return false,
+            Change::None | Change::Beat(_) => return,
             Change::State(_) => {}
             Change::Life(index) => {
                 self.loads.reset(index);
@@ -34,7 +46,6 @@
         if self.catalog.revision() > 0 {
             self.notes.push(Note::Target { target: name, state, revision });
         }
-        true
     }
 
     /// Takes rows that a reader of an availability zone passed on; returns whether peers
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -40,16 +40,47 @@
 
 #[test]
 fn rows_in_datagrams() {
-    let parts = news::split(3, 200, rows(200));
+    let parts = news::split(Rows { after: 3, revision: 200, rows: rows(200) });
     assert!(parts.len() > 1);
     for rows in &parts {
         assert!(frame(News::Rows(rows.clone())).to_bytes().len() <= MAX_FRAME_BYTES);
     }
     assert_eq!(parts.iter().map(|part| part.rows.len()).sum::<usize>(), 200);
-    assert!(parts[..parts.len() - 1].iter().all(|part| part.revision == 3), "only the last completes");
+    assert_eq!(parts[0].after, 3);
+    assert!(parts.windows(2).all(|pair| pair[0].revision == pair[1].after));
     assert_eq!(parts.last().unwrap().revision, 200);
 }
 
+/// Path that is complete up to no revision and hears all parts but one.
+fn heard_but(parts: &[Rows], lost: usize) -> Path {
+    let mut path = Path::new(Settings { zone: "pa".into(), ..Settings::default() });
+    for (_, part) in parts.iter().enumerate().filter(|(index, _)| *index != lost) {
+        path.take_rows(part.clone(), "pa", Time(1));
+    }
+    path
+}
+
+#[test]
+fn lost_part() {
+    let parts = news::split(Rows { after: 0, revision: 200, rows: rows(200) });
+    for lost in 0..parts.len() {
+        let path = heard_but(&parts, lost);
+        assert!(path.catalog().revision() < 200, "part {lost} is lost");
+        assert_eq!(path.is_behind(), lost + 1 < parts.len(), "part {lost} is lost");
+    }
+    assert_eq!(heard_but(&parts, parts.len()).catalog().revision(), 200);
+}
+
+#[test]
+fn many_rows_of_one_revision() {
+    let mut same = rows(40);
+    same.iter_mut().for_each(|row| row.revision = 9);
+    let parts = news::split(Rows { after: 0, revision: 9, rows: same });
+    let path = heard_but(&parts, parts.len());
+    assert!(path.is_behind(), "what does not fit is fetched");
+    assert!(path.catalog().revision() < 9);
+}
+
 #[test]
 fn members_in_datagram() {
     let member = |index| Member {
@@ -88,6 +119,18 @@
     assert!(!path.is_behind());
 }
 
+#[test]
+fn known_rows_passed_on() {
+    let mut path = complete(true);
+    path.note_store(true);
+    // With a gap before it, the row is taken, but this instance is not complete.
+    let row = Row { revision: 8, ..rows(1).remove(0) };
+    path.take_rows(Rows { after: 7, revision: 9, rows: vec![row.clone()] }, "ct", Time(1));
+    let told = path.take_reading(vec![row], 9, Time(2));
+    assert_eq!((told.after, told.revision), (5, 9));
+    assert_eq!(told.rows.len(), 1, "peers that are complete up to 5 lack it");
+}
+
 #[test]
 fn foreign_rows() {
     let mut path = complete(false);
