--- a/crates/ragwortlbd/src/logs.rs
+++ b/crates/ragwortlbd/src/logs.rs
@@ -65,8 +65,8 @@
         let (done, written) = sync_channel(1);
         let sent = self.sender.try_send(Message::Flush(done));
         // With a full queue the output is not read, and there is nobody to wait for.
-        if sent.is_ok() && written.recv_timeout(LAST_LINES).is_err() {
-            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        if sent.is_ok() {
+            written.recv_timeout(LAST_LINES).unwrap_or_else(|error| eprintln!("last lines: {error}"));
         }
     }
 }
@@ -113,12 +113,8 @@
         if written.is_err() {
             return;
         }
-        for done in waiting {
-            if done.try_send(()).is_err() {
-                // Whoever asked no longer waits.
-                continue;
-            }
-        }
+        // Whoever no longer waits has ended.
+        waiting.retain(|done| done.try_send(()).is_ok());
     }
 }
 
