--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -184,7 +184,7 @@
 
     /// Peers to which a report goes in this round. Those of the cell have their turn in
     /// each, or in every second one until they are heard; the others one after the
-    /// other, and silent ones not more often than each [`KNOCK_MS`].
+    /// other, and silent ones twice a second at most.
     pub fn listeners(&self, round: u64, now: Time) -> impl Iterator<Item = &Row> {
         let silence_ms = self.silence_ms();
         let rounds = |time_ms: u64| time_ms.div_ceil(cadence::REPORT_MS);
