--- a/benches/compare.rs
+++ b/benches/compare.rs
@@ -136,7 +136,7 @@
                         let names = tables[instance].names();
                         names[(key % names.len() as u64) as usize].to_string()
                     }
-                    _ => tables[instance].target(key).map(|name| name.to_string()).unwrap_or_default(),
+                    _ => tables[instance].target(key).expect("a table has targets").to_string(),
                 };
                 let held = if way == Way::Modulo { None } else { entries[instance].get(&key).cloned() };
                 let target = held.unwrap_or(computed);
--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -119,8 +119,9 @@
 
 fn resident_bytes() -> f64 {
     const PAGE: f64 = 4_096.0;
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    text.split_whitespace().nth(1).and_then(|pages| pages.parse::<f64>().ok()).unwrap_or_default() * PAGE
+    let text = std::fs::read_to_string("/proc/self/statm").expect("the kernel tells memory in use");
+    let pages = text.split_whitespace().nth(1).expect("resident pages are the second number");
+    pages.parse::<f64>().expect("resident pages are a number") * PAGE
 }
 
 fn flows() {
--- a/crates/ragwortlb-cli/src/commands.rs
+++ b/crates/ragwortlb-cli/src/commands.rs
@@ -185,7 +185,8 @@
 /// Identity of a new change: unlike any other, and short.
 fn fresh_change(folder: &Folder) -> String {
     const DIGITS: usize = 16;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    // A clock before the epoch tells changes apart as well as one after it.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_else(|error| error.duration());
     let names: Vec<&str> = folder.files().iter().map(|file| &*file.name).collect();
     let seed = format!("{}-{}-{}", now.as_nanos(), std::process::id(), names.join("/"));
     Digest::of(seed.as_bytes()).as_str()[..DIGITS].to_owned()
@@ -244,17 +245,25 @@
 }
 
 fn print_instance(address: &str, state: &serde_json::Value, accepted: Option<u64>) {
-    let number = |key: &str| state[key].as_u64().unwrap_or_default();
-    let effective = number("effective_revision");
-    let note = match accepted {
-        Some(accepted) if effective < accepted => " (behind)",
-        Some(accepted) if effective > accepted => " (ahead of the store, which may have been restored)",
+    let effective = state["effective_revision"].as_u64();
+    let note = match (effective, accepted) {
+        (Some(effective), Some(accepted)) if effective < accepted => " (behind)",
+        (Some(effective), Some(accepted)) if effective > accepted => {
+            " (ahead of the store, which may have been restored)"
+        }
         _ => "",
     };
-    let refused = state["detail"]["counts"]["refused_revisions"].as_u64().unwrap_or_default();
+    // What an instance of another version does not tell is not shown as zero.
+    let shown = |value: Option<u64>| value.map_or_else(|| "unknown".to_owned(), |value| value.to_string());
+    let effective = shown(effective);
+    let refused = shown(state["detail"]["counts"]["refused_revisions"].as_u64());
     let name = state["name"].as_str().unwrap_or("-");
     let zone = state["zone"].as_str().unwrap_or("-");
-    let settled = if state["settled"].as_bool().unwrap_or_default() { "settled" } else { "changing" };
+    let settled = match state["settled"].as_bool() {
+        Some(true) => "settled",
+        Some(false) => "changing",
+        None => "unknown whether settled",
+    };
     println!("{address}: {name} in {zone}, revision {effective}{note}, {settled}, refused {refused}");
 }
 
