Count requests that run instead of flows that are open

Cause: relay::load took each open flow for a busy slot. Clients that keep a flow for many requests filled all slots on paper, and placement refused new flows while targets were free.

A client acknowledges the target's bytes once the answer arrives, so a flow runs from its opening packet or a request until that acknowledgement, and is idle then. Idle flows are counted apart and balance the placement of flows that last. Records expire from a queue instead of a scan of all flows at each tick, and idle flows are removed after 3 s.

Tests of relay_flood, relay_fleet, relay_tokens and relay_news pass.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -70,7 +70,7 @@
     let packet = Packet {
         client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 40_001),
         address: address(1),
-        kind: Kind::Data { request: false },
+        kind: Kind::Data { request: false, acked: 0 },
         token: Token::of("i-00000007"),
     };
     bencher.bench_local(|| {
--- a/crates/ragwortlbd/src/relay/decisions.rs
+++ b/crates/ragwortlbd/src/relay/decisions.rs
@@ -30,7 +30,8 @@
     log::info!(
         client:% = packet.client, address:% = packet.address, copy, waited_ms,
         target:% = placement.target, token = destination.token.0,
-        own = placement.own, open = placement.open, slots = placement.slots, strikes = placement.strikes,
+        own = placement.own, running = placement.running, flows = placement.flows, slots = placement.slots,
+        strikes = placement.strikes,
         mates, revision, plan, news_age_ms;
         "E724 flow placed on a target"
     );
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -242,7 +242,7 @@
                 forwarder.catalog().revision(),
             ),
             ("plan_version", "Version of the plan in effect", forwarder.catalog().plan().version),
-            ("open_flows", "Flows of this instance that count as load", forwarder.open_flows() as u64),
+            ("open_flows", "Flows that this instance has seen recently", forwarder.open_flows() as u64),
             ("live_peers", "Live peers", forwarder.peers().live(now()).count() as u64),
             (
                 "reader",
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -13,8 +13,9 @@
 | module | holds |
 |---|---|
 | [`catalog`] | targets and routes known to this instance, by store revision |
-| [`flows`] | flows that this instance placed, until they end or expire |
-| [`load`] | open flows of each target, own and reported by peers; service times |
+| [`flows`] | flows seen by this instance, and whether they have a request at their target |
+| [`habit`] | whether the flows of a route stay open for several requests |
+| [`load`] | running and idle flows of each target, own and reported by peers; service times |
 | [`budget`] | how much spare capacity each instance may use between reports |
 | [`report_interval`] | how often instances report, by the size of the fleet |
 | [`cells`] | groups of instances in a large fleet that share some of the targets |
@@ -51,6 +52,7 @@
 pub mod flows;
 pub mod forwarder;
 pub mod gossip;
+pub mod habit;
 pub mod load;
 pub mod mix;
 pub mod outlier;
@@ -91,6 +93,9 @@
     Data {
         /// Whether it carries bytes of a request.
         request: bool,
+        /// Sequence number up to which the client has received the target's bytes. It grows
+        /// once the target answers.
+        acked: u32,
     },
     /// Closes the client's side of a flow.
     Close,
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -19,13 +19,13 @@
 }
 
 impl Budget {
-    /// Returns this instance's share of the spare capacity below `limit` open flows of
+    /// Returns this instance's share of the spare capacity below `limit` running flows of
     /// each healthy candidate.
     pub fn new(candidates: &[Candidate], limit: impl Fn(&Candidate) -> f32, instances: usize) -> Budget {
         let spare: f32 = candidates
             .iter()
             .filter(|candidate| !candidate.is_ejected)
-            .map(|candidate| (limit(candidate) - candidate.open).max(0.0))
+            .map(|candidate| (limit(candidate) - candidate.running).max(0.0))
             .sum();
         Budget { remaining: spare / instances.max(1) as f32 }
     }
--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -1,22 +1,37 @@
 /*!
-Flows that this instance placed, counted while they probably load a target.
+Flows that this instance has seen recently, and what each of them does at its target.
 
 The table only counts load. Packets after the first are forwarded by their token,
 so a lost record does no harm, but a record must not outlive its flow by much.
 
-When the network fabric rehashes flows to other instances, those see the ends and
-this instance does not. [`MoveDetector`] infers this from ends of flows that were not
-placed here; the records of that time then expire after the usual length of a
-flow. Otherwise a record is kept until its end is seen: growing queues make flows
-last longer, and those flows must stay in the count.
+An instance sees the client's packets only. A flow is *running* from its opening
+packet or the first packet of a request until the client acknowledges bytes of the
+answer, which the target sends once its work is done. Then the flow is *idle*
+until the next request. A flow that stays idle for [`IDLE_COUNTED_MS`] is removed:
+it adds little load, and its next request adds it again, as the token names the
+target.
+
+When the network fabric rehashes flows to other instances, those see the answers and
+ends and this instance does not. [`MoveDetector`] infers this from packets of flows
+that have no record here; the records of that time then expire after the usual length
+of a request. Otherwise a running flow is kept until its answer is seen: growing queues
+make requests last longer, and those must stay in the count.
 */
 
-use std::{collections::HashMap, net::SocketAddrV4};
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    net::SocketAddrV4,
+};
 
 use crate::{hash, time::Time};
 
+/// Time after its last request for which an idle flow counts, in milliseconds: several
+/// pauses between the requests of an active client.
+pub const IDLE_COUNTED_MS: u64 = 3_000;
+
 /// Identifies a flow by the addresses of both ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowKey(u64);
 
 impl FlowKey {
@@ -32,106 +47,148 @@
     }
 }
 
-/// Flow placed by this instance.
+/// What a flow does at its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Activity {
+    /// Its opening packet was forwarded; the client has not gone on yet.
+    Opening,
+    /// A request is at the target, and its answer has not reached the client yet.
+    Running,
+    /// No request is at the target.
+    Idle,
+}
+
+impl Activity {
+    /// Whether the flow uses or awaits a slot of its target.
+    pub fn is_running(self) -> bool {
+        self != Activity::Idle
+    }
+}
+
+/// Flow that this instance has seen recently.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Flow {
     /// Target's index.
     pub target: usize,
-    /// When its opening packet was forwarded.
-    pub opened: Time,
+    /// What it does.
+    pub activity: Activity,
+    /// When its opening packet was forwarded, or its current request was.
+    pub started: Time,
     /// When it last carried an opening packet or a request.
     pub last_active: Time,
-    /// Whether the client has gone on after the target's answer.
-    pub is_open: bool,
-    /// Whether the target was idle when the flow was placed, so that the flow's duration
-    /// is a sample of the service time without queueing.
+    /// Sequence number up to which the client had acknowledged the target's bytes when it
+    /// sent its current request.
+    pub acked: u32,
+    /// Answered requests.
+    pub answers: u32,
+    /// Whether the target was idle when the opening packet or request was forwarded, so that
+    /// the time to the answer is a sample of the service time without queueing.
     pub is_sample: bool,
-    /// Whether it counts as load: from its opening or a request until it expires.
-    pub is_counted: bool,
-    /// When it stops counting as load or, if it does not count, is removed.
+    /// Whether this instance has forwarded its opening packet.
+    pub is_own: bool,
+    /// When its activity ends if no packet arrives.
     pub expires: Time,
 }
 
-/// Flow that expired before its end was seen.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Expired {
-    /// Key.
-    pub key: FlowKey,
-    /// Record.
-    pub flow: Flow,
+impl Flow {
+    /// Whether an acknowledgement covers bytes of the answer to the current request.
+    pub fn is_answered_by(&self, acked: u32) -> bool {
+        acked.wrapping_sub(self.acked) as i32 > 0
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    flow: Flow,
+    /// Time of the slot's entry in the queue of expiries; other entries are outdated.
+    queued: Time,
 }
 
 /// Records of flows.
 #[derive(Clone, Debug, Default)]
 pub struct Flows {
-    table: HashMap<FlowKey, Flow>,
+    table: HashMap<FlowKey, Slot>,
+    expiries: BinaryHeap<Reverse<(Time, FlowKey)>>,
 }
 
 impl Flows {
     /// Returns the record of a flow.
     pub fn get(&self, key: FlowKey) -> Option<&Flow> {
-        self.table.get(&key)
+        self.table.get(&key).map(|slot| &slot.flow)
     }
 
-    /// Returns the record of a flow for changes.
+    /// Returns the record of a flow for changes. Its expiry may only be put off.
     pub fn get_mut(&mut self, key: FlowKey) -> Option<&mut Flow> {
-        self.table.get_mut(&key)
+        self.table.get_mut(&key).map(|slot| &mut slot.flow)
     }
 
     /// Adds a record; returns the one that it replaces.
     pub fn insert(&mut self, key: FlowKey, flow: Flow) -> Option<Flow> {
-        self.table.insert(key, flow)
+        let queued = flow.expires;
+        self.expiries.push(Reverse((queued, key)));
+        self.table.insert(key, Slot { flow, queued }).map(|former| former.flow)
     }
 
     /// Removes a record.
     pub fn remove(&mut self, key: FlowKey) -> Option<Flow> {
-        self.table.remove(&key)
+        self.table.remove(&key).map(|slot| slot.flow)
     }
 
-    /// Expires records. Open flows stay in the table for `retention_ms` without counting,
-    /// as further requests may follow; others are removed. Returns the flows that no longer
-    /// count.
-    pub fn expire(&mut self, now: Time, retention_ms: u64) -> Vec<Expired> {
-        let mut ended = Vec::new();
-        self.table.retain(|key, flow| {
-            if flow.expires > now {
-                return true;
-            }
-            if !flow.is_counted {
-                return false;
+    /// Ends activities that expired, and returns the flows as they were. Running flows
+    /// become idle, others are removed.
+    pub fn expire(&mut self, now: Time) -> Vec<Flow> {
+        let mut expired = Vec::new();
+        while let Some(&Reverse((at, key))) = self.expiries.peek()
+            && at <= now
+        {
+            self.expiries.pop();
+            let Some(slot) = self.table.get_mut(&key).filter(|slot| slot.queued == at) else {
+                continue;
+            };
+            if slot.flow.expires <= now {
+                expired.push(slot.flow.clone());
+                if slot.flow.activity != Activity::Running {
+                    self.table.remove(&key);
+                    continue;
+                }
+                slot.flow.activity = Activity::Idle;
+                slot.flow.expires = now + IDLE_COUNTED_MS;
             }
-            ended.push(Expired { key: *key, flow: flow.clone() });
-            flow.is_counted = false;
-            flow.expires = now + retention_ms;
-            flow.is_open
-        });
-        ended
+            slot.queued = slot.flow.expires;
+            self.expiries.push(Reverse((slot.queued, key)));
+        }
+        expired
     }
 
-    /// Limits the expiry of all counted flows to a time.
+    /// Limits the expiry of all running flows to a time.
     pub fn limit_expiry(&mut self, limit: Time) {
-        for flow in self.table.values_mut().filter(|flow| flow.is_counted) {
-            flow.expires = flow.expires.min(limit);
+        let is_later = |flow: &Flow| flow.activity.is_running() && flow.expires > limit;
+        for (key, slot) in self.table.iter_mut().filter(|(_, slot)| is_later(&slot.flow)) {
+            slot.flow.expires = limit;
+            slot.queued = limit;
+            self.expiries.push(Reverse((limit, *key)));
         }
     }
 
     /// Removes all records, as after a pause of the process.
     pub fn clear(&mut self) {
         self.table.clear();
+        self.expiries.clear();
     }
 
-    /// Number of counted flows.
+    /// Number of records.
     pub fn len(&self) -> usize {
-        self.table.values().filter(|flow| flow.is_counted).count()
+        self.table.len()
     }
 
-    /// Whether no flow is counted.
+    /// Whether there is no record.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.table.is_empty()
     }
 }
 
-/// Detects from the ends of flows whether the fabric has moved flows between instances.
+/// Detects from packets of flows without a record whether the fabric has moved flows
+/// between instances.
 #[derive(Clone, Debug, Default)]
 pub struct MoveDetector {
     since: Time,
@@ -155,7 +212,7 @@
 const SLICE_WEIGHT: f32 = 0.05;
 
 impl MoveDetector {
-    /// Records the end of a flow, and whether this instance placed it.
+    /// Records an end or answer of a flow, and whether the flow had a record here.
     pub fn record_end(&mut self, is_own: bool) {
         match is_own {
             true => self.own_ends += 1,
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -22,7 +22,8 @@
     budget::{self, Budget},
     catalog::{Catalog, Target},
     cells::Cell,
-    flows::{Flow, FlowKey, Flows, MoveDetector},
+    flows::{Activity, Flow, FlowKey, Flows, IDLE_COUNTED_MS, MoveDetector},
+    habit::Habits,
     load::Loads,
     mix::Mix,
     outlier::Outliers,
@@ -35,11 +36,11 @@
 /// longer than scheduling delays, far shorter than a client's time-out.
 pub const PAUSE_MS: u64 = 500;
 
-/// Time for which a flow counts if its end is not seen, in milliseconds: longer than the
-/// longest queueing delay at a target.
+/// Time for which a request counts if its answer is not seen, in milliseconds: longer than
+/// the longest queueing delay at a target.
 const FLOW_EXPIRY_MS: u64 = 2_000;
 
-/// Time for which flows count that the network fabric may have moved, as a multiple of the
+/// Time for which requests count whose flow the network fabric may have moved, as a multiple of the
 /// service's mean duration.
 const MOVED_FLOW_EXPIRY_MEANS: f32 = 2.0;
 
@@ -105,6 +106,7 @@
     notices: Vec<Notice>,
     is_leaving: bool,
     mix: Mix,
+    habits: Habits,
     move_detector: MoveDetector,
     /// Budgets of this round, by service and class.
     budgets: Vec<[Option<Budget>; budget::CLASS_COUNT]>,
@@ -140,6 +142,7 @@
             notices: Vec::new(),
             is_leaving: false,
             mix: Mix::default(),
+            habits: Habits::default(),
             move_detector: MoveDetector::default(),
             budgets: Vec::new(),
             is_behind: false,
@@ -170,7 +173,7 @@
         &self.loads
     }
 
-    /// Number of own flows that count as load.
+    /// Number of flows with a record.
     pub fn open_flows(&self) -> usize {
         self.flows.len()
     }
@@ -254,44 +257,115 @@
         let key = FlowKey::of(packet.client, packet.address);
         match packet.kind {
             Kind::Open { .. } => {}
-            Kind::Data { request } => {
-                // A flow placed by another instance counts there; its end may arrive there.
-                let Some(flow) = self.flows.get_mut(key) else {
+            Kind::Data { request: true, acked } => self.track_request(now, packet, target, acked),
+            Kind::Data { request: false, acked } => {
+                let Some(flow) = self.flows.get(key) else {
+                    // The fabric has moved the flow to this instance.
+                    self.move_detector.record_end(false);
+                    let expires = now + IDLE_COUNTED_MS;
+                    self.insert(
+                        key,
+                        Flow { activity: Activity::Idle, expires, ..unplaced(now, target, acked) },
+                    );
                     return;
                 };
-                let is_first = !flow.is_open;
-                flow.is_open = true;
-                if request {
-                    flow.last_active = now;
-                }
-                if request && !flow.is_counted {
-                    flow.is_counted = true;
-                    self.loads.start(flow.target);
-                }
-                if request || is_first {
-                    flow.expires = now + FLOW_EXPIRY_MS;
-                }
-                if is_first {
-                    self.note_answer(target, now);
+                match flow.activity {
+                    Activity::Opening => self.note_open(now, key, target, acked),
+                    Activity::Running if flow.is_answered_by(acked) => {
+                        self.record_answer(now, key, target, service);
+                    }
+                    Activity::Running | Activity::Idle => {}
                 }
             }
             Kind::Close | Kind::Abort => {
-                let flow = self.flows.remove(key);
-                self.move_detector.record_end(flow.is_some());
-                let Some(flow) = flow else {
+                let Some(flow) = self.flows.get(key) else {
+                    self.move_detector.record_end(false);
+                    return;
+                };
+                if flow.activity.is_running() && packet.kind == Kind::Close {
+                    self.record_answer(now, key, target, service);
+                }
+                let Some(flow) = self.flows.remove(key) else {
                     return;
                 };
-                if flow.is_counted {
-                    self.loads.end(flow.target);
+                self.loads.remove(flow.target, flow.activity);
+                if flow.is_own {
+                    self.move_detector.record_end(true);
                 }
-                if flow.is_sample && flow.target == target && packet.kind == Kind::Close {
-                    self.loads.sample(target, service, now.since(flow.opened), now);
+                if flow.is_own && flow.answers == 1 {
+                    self.habits.record(packet.address, false);
                 }
                 self.note_answer(target, now);
             }
         }
     }
 
+    /// Counts a request that starts on a flow, also on one that this instance did not see
+    /// before.
+    fn track_request(&mut self, now: Time, packet: &Packet, target: usize, acked: u32) {
+        let key = FlowKey::of(packet.client, packet.address);
+        let is_sample = self.has_free_slot(target);
+        let expires = now + FLOW_EXPIRY_MS;
+        let Some(flow) = self.flows.get_mut(key) else {
+            self.insert(key, Flow { is_sample, expires, ..unplaced(now, target, acked) });
+            return;
+        };
+        flow.last_active = now;
+        flow.expires = expires;
+        if flow.activity == Activity::Opening {
+            return self.note_open(now, key, target, acked);
+        }
+        let is_next = flow.activity == Activity::Idle || flow.is_answered_by(acked);
+        if !is_next {
+            return;
+        }
+        let former = std::mem::replace(&mut flow.activity, Activity::Running);
+        (flow.started, flow.acked, flow.is_sample) = (now, acked, is_sample);
+        let target = flow.target;
+        let is_second = flow.is_own && flow.answers == 1;
+        self.loads.remove(target, former);
+        self.loads.add(target, Activity::Running);
+        if is_second {
+            self.habits.record(packet.address, true);
+        }
+    }
+
+    /// Records that the client has gone on after the target's first answer.
+    fn note_open(&mut self, now: Time, key: FlowKey, target: usize, acked: u32) {
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.activity = Activity::Running;
+            flow.acked = acked;
+            flow.expires = now + FLOW_EXPIRY_MS;
+        }
+        self.note_answer(target, now);
+    }
+
+    /// Records that the answer to a flow's request reaches the client.
+    fn record_answer(&mut self, now: Time, key: FlowKey, target: usize, service: usize) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        let former = std::mem::replace(&mut flow.activity, Activity::Idle);
+        flow.answers += 1;
+        flow.expires = flow.last_active + IDLE_COUNTED_MS;
+        let (counted, time_ms) = (flow.target, now.since(flow.started));
+        let is_sample = flow.is_sample && flow.target == target;
+        if flow.answers == 1 && flow.is_own {
+            self.move_detector.record_end(true);
+        }
+        self.loads.remove(counted, former);
+        self.loads.add(counted, Activity::Idle);
+        if is_sample {
+            self.loads.sample(target, service, time_ms, now);
+        }
+        self.note_answer(target, now);
+    }
+
+    fn has_free_slot(&self, target: usize) -> bool {
+        let slots = self.catalog.target(target).map_or(0, |target| target.record.entry.slots);
+        self.loads.running(target) < slots
+    }
+
     /// Records that a target answered a client.
     fn note_answer(&mut self, target: usize, now: Time) {
         self.outliers.record_answer(target, now);
@@ -302,10 +376,10 @@
     }
 
     /// Adds a flow, replacing a former one with the same key.
-    fn start(&mut self, key: FlowKey, flow: Flow) {
-        self.loads.start(flow.target);
-        if let Some(former) = self.flows.insert(key, flow).filter(|former| former.is_counted) {
-            self.loads.end(former.target);
+    fn insert(&mut self, key: FlowKey, flow: Flow) {
+        self.loads.add(flow.target, flow.activity);
+        if let Some(former) = self.flows.insert(key, flow) {
+            self.loads.remove(former.target, former.activity);
         }
     }
 
@@ -320,10 +394,12 @@
         if self.move_detector.tick(now) {
             self.flows.limit_expiry(now + self.moved_flow_expiry_ms());
         }
-        for expired in self.flows.expire(now, self.settings.max_flow_lifetime_ms) {
-            self.loads.end(expired.flow.target);
-            if !expired.flow.is_open {
-                self.outliers.record_failure(expired.flow.target, now);
+        for expired in self.flows.expire(now) {
+            self.loads.remove(expired.target, expired.activity);
+            match expired.activity {
+                Activity::Opening => self.outliers.record_failure(expired.target, now),
+                Activity::Running => self.loads.add(expired.target, Activity::Idle),
+                Activity::Idle => {}
             }
         }
         let has_just_started = self.has_just_started(now);
@@ -391,6 +467,21 @@
     }
 }
 
+/// Flow with a request whose opening packet this instance has not forwarded.
+fn unplaced(now: Time, target: usize, acked: u32) -> Flow {
+    Flow {
+        target,
+        activity: Activity::Running,
+        started: now,
+        last_active: now,
+        acked,
+        answers: 0,
+        is_sample: false,
+        is_own: false,
+        expires: now,
+    }
+}
+
 fn destination(index: usize, target: &Target) -> Destination {
     let entry = &target.record.entry;
     Destination { target: index, address: entry.address, number: entry.number, token: target.token }
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -1,13 +1,15 @@
 //! Opening packets: where they are placed, how long they are queued, and when they are
 //! refused.
 
+use std::net::SocketAddrV4;
+
 use super::{Deferral, Destination, Forwarder, Notice, Refusal, Verdict, destination};
 use crate::{
     relay::{
         Class, Packet,
         budget::{self, Budget},
         catalog::{State, Target},
-        flows::{Flow, FlowKey},
+        flows::{Activity, Flow, FlowKey},
         placement::{Candidate, Choice, Demand},
     },
     time::Time,
@@ -48,6 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Opening {
     key: FlowKey,
+    /// Address that the client connects to.
+    address: SocketAddrV4,
     service: usize,
     class: Class,
     /// Number of the retransmission; zero for the first packet.
@@ -82,15 +86,13 @@
                 return Verdict::Forward(destination);
             }
             self.flows.remove(key);
-            if flow.is_counted {
-                self.loads.end(flow.target);
-            }
-            if !flow.is_open {
+            self.loads.remove(flow.target, flow.activity);
+            if flow.activity == Activity::Opening {
                 self.record_unanswered(now, packet, flow.target);
                 avoid = Some(flow.target);
             }
         }
-        self.route(now, &Opening { key, service, class, copy, avoid, arrived })
+        self.route(now, &Opening { key, address: packet.address, service, class, copy, avoid, arrived })
     }
 
     /// Destination of a retransmitted opening packet: the flow's target, if that has
@@ -98,7 +100,7 @@
     fn previous_destination(&self, now: Time, flow: &Flow, service: usize) -> Option<Destination> {
         let target = self.catalog.target(flow.target)?;
         let takes_new = matches!(target.record.state, State::Ready | State::Missing);
-        let holds = flow.is_open || now.since(flow.last_active) < SAME_TARGET_MS;
+        let holds = flow.activity != Activity::Opening || now.since(flow.last_active) < SAME_TARGET_MS;
         (holds && takes_new && target.service == service).then(|| destination(flow.target, target))
     }
 
@@ -122,7 +124,7 @@
         self.collect_candidates(now, service, opening.avoid, &mut candidates);
         let choice = self.choose(now, opening, &demand, &candidates);
         let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
-        let is_idle = found.is_some_and(|candidate| candidate.open < candidate.slots)
+        let is_idle = found.is_some_and(|candidate| candidate.running < candidate.slots)
             && !self.has_just_started(now)
             && is_lightly_loaded(&candidates);
         self.candidates = candidates;
@@ -147,6 +149,7 @@
             objective_ms: class.objective_ms as f32,
             priority_rank: self.mix.priority_rank(service, class.priority),
             is_late: left_ms < mean_ms,
+            is_lasting: self.habits.is_lasting(opening.address),
             mean_ms,
         }
     }
@@ -170,15 +173,17 @@
             return Verdict::Defer(Deferral::Targets);
         };
         let destination = destination(index, target);
-        self.start(
+        self.insert(
             opening.key,
             Flow {
                 target: index,
-                opened: now,
+                activity: Activity::Opening,
+                started: now,
                 last_active: now,
-                is_open: false,
-                is_counted: true,
+                acked: 0,
+                answers: 0,
                 is_sample: is_idle && opening.copy == 0,
+                is_own: true,
                 expires: now + HANDSHAKE_EXPIRY_MS,
             },
         );
@@ -270,7 +275,7 @@
     /// assumes that soon after a start they place as many flows as this instance.
     fn unreported_flows(&self, service: usize) -> f32 {
         let cell_targets = self.cell_targets(service);
-        let own: u32 = cell_targets.iter().map(|index| self.loads.own(*index)).sum();
+        let own: u32 = cell_targets.iter().map(|index| self.loads.own_running(*index)).sum();
         self.peers.unreported_cell_peers() as f32 * own as f32 / cell_targets.len().max(1) as f32
     }
 
@@ -282,7 +287,8 @@
         Candidate {
             target: index,
             slots: entry.slots as f32,
-            open: self.loads.all(index) as f32 + unreported_flows,
+            running: self.loads.running(index) as f32 + unreported_flows,
+            flows: self.loads.flows(index) as f32 + unreported_flows,
             slowness: self.loads.slowness(index, target.service),
             is_warming_up: now < target.warmed_up_at,
             is_same_zone: entry.zone == self.settings.zone,
@@ -295,7 +301,7 @@
 /// Below this load, some flows that are missing from the count do not fill the rest.
 fn is_lightly_loaded(candidates: &[Candidate]) -> bool {
     let slots: f32 = candidates.iter().map(|candidate| candidate.slots).sum();
-    let open: f32 = candidates.iter().map(|candidate| candidate.open).sum();
+    let open: f32 = candidates.iter().map(|candidate| candidate.running).sum();
     open < LIGHT_LOAD_SHARE * slots
 }
 
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -137,8 +137,9 @@
         let entry = &self.catalog.target(target)?.record.entry;
         Some(Placement {
             target: entry.name.clone(),
-            own: self.loads.own(target),
-            open: self.loads.all(target),
+            own: self.loads.own_running(target),
+            running: self.loads.running(target),
+            flows: self.loads.flows(target),
             slots: entry.slots,
             strikes: self.outliers.strikes(target),
         })
@@ -151,7 +152,7 @@
             let Some(target) = self.catalog.find(load.token) else {
                 continue;
             };
-            loads.push(load::Report { target, open: load.open });
+            loads.push(load::Report { target, running: load.running, idle: load.idle });
             self.outliers.record_peer(target, load.failures, now);
             if load.is_responsive {
                 self.outliers.record_peer_answer(target, now);
@@ -174,10 +175,11 @@
         let loads = (0..self.catalog.size())
             .filter_map(|index| {
                 let target = self.catalog.target(index)?;
-                let (open, strikes) = (self.loads.own(index), self.outliers.strikes(index));
+                let (running, idle) = (self.loads.own_running(index), self.loads.own_idle(index));
+                let failures = self.outliers.strikes(index);
                 let is_responsive = self.outliers.contradicts_peers(index, now);
-                let load = Load { token: target.token, open, failures: strikes, is_responsive };
-                (open + strikes > 0 || is_responsive).then_some(load)
+                let load = Load { token: target.token, running, idle, failures, is_responsive };
+                (running + idle + failures > 0 || is_responsive).then_some(load)
             })
             .collect();
         Report {
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -119,10 +119,12 @@
 pub struct Placement {
     /// Target's name.
     pub target: Arc<str>,
-    /// Open flows there that this instance placed, including this one.
+    /// Own flows with a request there, including this one.
     pub own: u32,
-    /// Open flows there, own and reported by peers.
-    pub open: u32,
+    /// Flows with a request there, own and reported by peers.
+    pub running: u32,
+    /// All flows there, running or idle, own and reported by peers.
+    pub flows: u32,
     /// Requests that it serves concurrently.
     pub slots: u32,
     /// Consecutive opening packets that it left unanswered, as counted here.
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -1,7 +1,7 @@
 /*!
 Gossip between instances on the packet path: messages and their encoding.
 
-[`Report`] is the load report: the sender's open flows by target, many times a
+[`Report`] is the load report: the sender's flows by target, many times a
 second. [`Update`] passes on records that a store reader has read. [`Member`]s
 announce the addresses of instances, as only store readers see new
 registrations.
@@ -29,7 +29,7 @@
 use crate::Error;
 
 /// Version of the encoding.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Longest datagram, in bytes, to fit into one packet on common links.
 pub const MAX_FRAME_BYTES: usize = 1_400;
@@ -40,22 +40,48 @@
 /// Bytes of records in one datagram.
 const MAX_RECORDS_BYTES: usize = 1_200;
 
-/// Open flows and failures of one target, as the sender counts them.
+/// Flows and failures of one target, as the sender counts them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
+#[serde(from = "EncodedLoad", into = "EncodedLoad")]
 pub struct Load {
     /// Target.
     pub token: Token,
-    /// Open flows.
-    pub open: u32,
+    /// Flows with a request there.
+    pub running: u32,
+    /// Idle flows.
+    pub idle: u32,
     /// Consecutive opening packets that the target left unanswered.
-    #[serde(rename = "strikes")]
     pub failures: u32,
     /// Whether the target recently answered the sender while peers report failures.
-    #[serde(rename = "answers")]
     pub is_responsive: bool,
 }
 
+/// Encoding of a [`Load`]. Health takes one field, as most reports consist of many loads.
+#[derive(Deserialize, Serialize)]
+struct EncodedLoad {
+    token: Token,
+    running: u32,
+    idle: u32,
+    /// Twice the failures, plus one if the target is responsive.
+    health: u32,
+}
+
+impl From<Load> for EncodedLoad {
+    fn from(load: Load) -> EncodedLoad {
+        let Load { token, running, idle, failures, is_responsive } = load;
+        let health = failures.min(u32::MAX / 2) * 2 + u32::from(is_responsive);
+        EncodedLoad { token, running, idle, health }
+    }
+}
+
+impl From<EncodedLoad> for Load {
+    fn from(encoded: EncodedLoad) -> Load {
+        let EncodedLoad { token, running, idle, health } = encoded;
+        Load { token, running, idle, failures: health / 2, is_responsive: health % 2 == 1 }
+    }
+}
+
 /// State of the sender.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -66,7 +92,7 @@
     pub plan_version: u64,
     /// Whether it is shutting down.
     pub is_leaving: bool,
-    /// Targets with open flows or failures.
+    /// Targets with flows or failures.
     pub loads: Vec<Load>,
 }
 
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -1,18 +1,23 @@
 /*!
 Load and service time of each target.
 
+A flow loads its target only while a request of it runs there, so running and idle
+flows are counted apart (see [`super::flows`]). The running flows tell how long a
+request that starts now has to wait. The idle ones tell where further requests will
+arrive.
+
 Each instance sees only its own flows, so instances report to each other how many
-flows they have open at each target. A report expires soon: a peer that stops
-reporting has stopped placing flows, and its flows end within a few hundred
-milliseconds.
+flows they have at each target. A report expires soon: a peer that stops reporting
+has stopped placing flows, and its requests end within a few hundred milliseconds.
 
-The service time of a target is the mean duration of flows that were placed while
-it was idle. Its ratio to the mean of the service reveals a slow target without a
-health check.
+The service time of a target is the mean time to the answer of requests that arrived
+while it had a free slot. Its ratio to the mean of the service reveals a slow target
+without a health check.
 */
 
 use std::collections::HashMap;
 
+use super::flows::Activity;
 use crate::time::Time;
 
 /// Time after which a report from the same cell expires, in milliseconds: ten missed
@@ -22,7 +27,7 @@
 /// Weight of a new sample in an exponential moving average.
 const SAMPLE_WEIGHT: f32 = 0.1;
 
-/// Mean duration of a flow before the first samples, in milliseconds.
+/// Mean service time before the first samples, in milliseconds.
 const INITIAL_MEAN_MS: f32 = 60.0;
 
 /// Largest growth of a service's mean within [`MEAN_GROWTH_INTERVAL_MS`]. The work does
@@ -43,8 +48,17 @@
 pub struct Report {
     /// Index of the target in this instance's catalog.
     pub target: usize,
-    /// Flows that the peer has open there.
-    pub open: u32,
+    /// Flows of the peer with a request there.
+    pub running: u32,
+    /// Flows of the peer that are idle there.
+    pub idle: u32,
+}
+
+impl Report {
+    /// Flows of the peer there.
+    fn flows(self) -> u32 {
+        self.running + self.idle
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -74,7 +88,7 @@
     }
 }
 
-/// Durations of a service's flows.
+/// Service times of a service's requests.
 #[derive(Clone, Copy, Debug, Default)]
 struct Baseline {
     /// Recent mean, the reference for the means of targets.
@@ -101,11 +115,23 @@
     }
 }
 
-/// Open flows and mean durations by target.
+/// Flows of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    /// Own flows with a request there.
+    running: u32,
+    /// Own idle flows.
+    idle: u32,
+    /// Flows of peers with a request there.
+    peers_running: u32,
+    /// All flows of peers.
+    peers_flows: u32,
+}
+
+/// Flows and mean service times by target.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
-    own: Vec<u32>,
-    others: Vec<u32>,
+    counts: Vec<Count>,
     peer_reports: HashMap<PeerId, PeerReport>,
     service_times: Vec<ServiceTime>,
     services: HashMap<usize, Baseline>,
@@ -114,51 +140,72 @@
 impl Loads {
     /// Grows the tables to a number of targets.
     pub fn resize(&mut self, targets: usize) {
-        self.own.resize(targets, 0);
-        self.others.resize(targets, 0);
+        self.counts.resize(targets, Count::default());
         self.service_times.resize(targets, ServiceTime::default());
     }
 
-    /// Own open flows at a target.
-    pub fn own(&self, target: usize) -> u32 {
-        self.own.get(target).copied().unwrap_or(0)
+    fn count(&self, target: usize) -> Count {
+        self.counts.get(target).copied().unwrap_or_default()
+    }
+
+    /// Own flows with a request at a target.
+    pub fn own_running(&self, target: usize) -> u32 {
+        self.count(target).running
+    }
+
+    /// Own idle flows of a target.
+    pub fn own_idle(&self, target: usize) -> u32 {
+        self.count(target).idle
     }
 
-    /// Open flows at a target, own and reported.
-    pub fn all(&self, target: usize) -> u32 {
-        self.own(target) + self.others.get(target).copied().unwrap_or(0)
+    /// Flows with a request at a target, own and reported.
+    pub fn running(&self, target: usize) -> u32 {
+        let count = self.count(target);
+        count.running + count.peers_running
     }
 
-    /// Counts the start of an own flow.
-    pub fn start(&mut self, target: usize) {
-        self.resize(self.own.len().max(target + 1));
-        self.own[target] += 1;
+    /// All flows of a target, running or idle, own and reported.
+    pub fn flows(&self, target: usize) -> u32 {
+        let count = self.count(target);
+        count.running + count.idle + count.peers_flows
     }
 
-    /// Counts the end of an own flow.
-    pub fn end(&mut self, target: usize) {
-        if let Some(own) = self.own.get_mut(target) {
-            *own = own.saturating_sub(1);
+    /// Counts an own flow.
+    pub fn add(&mut self, target: usize, activity: Activity) {
+        self.resize(self.counts.len().max(target + 1));
+        let count = &mut self.counts[target];
+        match activity.is_running() {
+            true => count.running += 1,
+            false => count.idle += 1,
         }
     }
 
+    /// Ends the count of an own flow.
+    pub fn remove(&mut self, target: usize, activity: Activity) {
+        let Some(count) = self.counts.get_mut(target) else {
+            return;
+        };
+        let flows = if activity.is_running() { &mut count.running } else { &mut count.idle };
+        // Zero if the counts were cleared while the flow was open.
+        *flows = flows.saturating_sub(1);
+    }
+
     /// Removes own flows and reports, as after a pause of the process.
     pub fn clear(&mut self) {
-        self.own.fill(0);
+        self.counts.fill(Count::default());
         self.peer_reports.clear();
-        self.sum_reports();
     }
 
     /// Removes the samples of a target, as a new incarnation has started.
     pub fn reset(&mut self, target: usize) {
-        self.resize(self.own.len().max(target + 1));
+        self.resize(self.counts.len().max(target + 1));
         self.service_times[target] = ServiceTime::default();
     }
 
     /// Replaces the report of a peer.
     pub fn report(&mut self, peer: PeerId, reports: Vec<Report>, valid_until: Time) {
         if let Some(max_target) = reports.iter().map(|report| report.target).max() {
-            self.resize(self.own.len().max(max_target + 1));
+            self.resize(self.counts.len().max(max_target + 1));
         }
         self.peer_reports.insert(peer, PeerReport { valid_until, reports });
         self.sum_reports();
@@ -179,25 +226,29 @@
     }
 
     fn sum_reports(&mut self) {
-        self.others.fill(0);
+        for count in &mut self.counts {
+            (count.peers_running, count.peers_flows) = (0, 0);
+        }
         for report in self.peer_reports.values().flat_map(|peer_report| &peer_report.reports) {
-            self.others[report.target] += report.open;
+            let count = &mut self.counts[report.target];
+            count.peers_running += report.running;
+            count.peers_flows += report.flows();
         }
     }
 
-    /// Adds the duration of a flow that was placed while its target was idle.
+    /// Adds the service time of a request that arrived while its target had a free slot.
     pub fn sample(&mut self, target: usize, service: usize, time_ms: u64, now: Time) {
-        self.resize(self.own.len().max(target + 1));
+        self.resize(self.counts.len().max(target + 1));
         self.service_times[target].add(time_ms as f32);
         self.services.entry(service).or_default().add(time_ms as f32, now);
     }
 
-    /// Mean duration of a service's flows, in milliseconds, with limited growth.
+    /// Mean service time of a service's requests, in milliseconds, with limited growth.
     pub fn mean_ms(&self, service: usize) -> f32 {
         self.services.get(&service).and_then(|baseline| baseline.clamped_ms).unwrap_or(INITIAL_MEAN_MS)
     }
 
-    /// Ratio of a target's mean duration to that of its service; one while unknown.
+    /// Ratio of a target's mean service time to that of its service; one while unknown.
     pub fn slowness(&self, target: usize, service: usize) -> f32 {
         match (self.service_times.get(target), self.services.get(&service)) {
             (Some(service_time), Some(baseline)) if service_time.samples >= MIN_SAMPLES => {
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -11,6 +11,10 @@
 to its free slots, so that instances which decide at the same time do not all
 choose the same one.
 
+A flow that lasts for many requests adds to the load of its target for its lifetime,
+whatever runs there when it opens. So the flows that a target already has count as
+additional time for it, and targets get even numbers of such flows.
+
 A flow is refused if its expected wait exceeds the limit of its class. The limit
 is lower for less urgent classes, so in a flood the queues stay short enough for
 urgent requests to meet their objective. A retransmitted opening packet may belong
@@ -37,6 +41,8 @@
     pub warm_up_factor: f32,
     /// Cost of a target in another availability zone, in milliseconds.
     pub cross_zone_ms: f32,
+    /// Cost to a lasting flow of each flow per slot that a target has, in milliseconds.
+    pub lasting_flow_ms: f32,
 }
 
 impl Default for Settings {
@@ -48,6 +54,7 @@
             tie_ms: 5.0,
             warm_up_factor: 1.6,
             cross_zone_ms: 1.0,
+            lasting_flow_ms: 10.0,
         }
     }
 }
@@ -61,6 +68,8 @@
     pub priority_rank: f32,
     /// Whether it can no longer meet its objective.
     pub is_late: bool,
+    /// Whether it probably lasts for several requests.
+    pub is_lasting: bool,
     /// Mean service time of a request, in milliseconds.
     pub mean_ms: f32,
 }
@@ -72,8 +81,10 @@
     pub target: usize,
     /// Requests that it serves concurrently.
     pub slots: f32,
-    /// Estimate of the flows that all instances have open there.
-    pub open: f32,
+    /// Estimate of the flows of all instances that have a request there.
+    pub running: f32,
+    /// Estimate of all flows there, running or idle.
+    pub flows: f32,
     /// Ratio of its service time to the mean of its service.
     pub slowness: f32,
     /// Whether it is warming up.
@@ -109,6 +120,9 @@
 struct Estimate {
     target: usize,
     wait_ms: f32,
+    /// Time to the answer of a request that starts now.
+    request_ms: f32,
+    /// The same with the cost of the flows that the target already has.
     total_ms: f32,
     free: f32,
 }
@@ -123,7 +137,7 @@
         share * demand.objective_ms
     }
 
-    /// Open flows up to which a flow may be added to a target: there the expected wait
+    /// Running flows up to which a flow may be added to a target: there the expected wait
     /// reaches the limit of its class, or late requests have filled their share of the
     /// slots.
     pub fn max_open(&self, demand: &Demand, candidate: &Candidate) -> f32 {
@@ -142,11 +156,15 @@
 
     fn estimate(&self, demand: &Demand, candidate: &Candidate) -> Estimate {
         let work_ms = demand.mean_ms * self.factor(candidate);
-        let free = candidate.slots - candidate.open;
+        let free = candidate.slots - candidate.running;
         let queued = (1.0 - free).max(0.0);
         let wait_ms = queued * work_ms / candidate.slots;
         let cross_zone_ms = if candidate.is_same_zone { 0.0 } else { self.cross_zone_ms };
-        Estimate { target: candidate.target, wait_ms, total_ms: wait_ms + work_ms + cross_zone_ms, free }
+        let lasting_ms =
+            if demand.is_lasting { self.lasting_flow_ms * candidate.flows / candidate.slots } else { 0.0 };
+        let request_ms = wait_ms + work_ms + cross_zone_ms;
+        let total_ms = request_ms + lasting_ms;
+        Estimate { target: candidate.target, wait_ms, request_ms, total_ms, free }
     }
 
     /// Chooses a target for a flow.
@@ -156,14 +174,16 @@
             .iter()
             .filter(|candidate| candidate.is_ejected != any_healthy)
             .map(|candidate| self.estimate(demand, candidate));
-        let Some(best) = estimates.clone().min_by(|a, b| a.total_ms.total_cmp(&b.total_ms)) else {
+        let Some(quickest) = estimates.clone().min_by(|a, b| a.request_ms.total_cmp(&b.request_ms)) else {
             return Choice::NoTarget;
         };
         let limit_ms = self.limit_ms(demand);
-        if best.wait_ms > limit_ms {
-            return Choice::WaitTooLong { wait_ms: best.wait_ms, limit_ms };
+        if quickest.wait_ms > limit_ms {
+            return Choice::WaitTooLong { wait_ms: quickest.wait_ms, limit_ms };
         }
-        let equals = estimates.filter(|estimate| estimate.total_ms <= best.total_ms + self.tie_ms);
+        let allowed = estimates.filter(|estimate| estimate.wait_ms <= limit_ms);
+        let best = allowed.clone().min_by(|a, b| a.total_ms.total_cmp(&b.total_ms)).unwrap_or(quickest);
+        let equals = allowed.filter(|estimate| estimate.total_ms <= best.total_ms + self.tie_ms);
         let target = draw(equals, random).unwrap_or(best.target);
         let waits = best.free < 1.0;
         if waits || demand.is_late { Choice::WithinBudget(target) } else { Choice::Target(target) }
--- a/tests/relay_cells.rs
+++ b/tests/relay_cells.rs
@@ -93,7 +93,13 @@
 
 /// Bytes of reports that an instance sends per second.
 fn report_bytes(peers: &Peers) -> usize {
-    let load = |index| Load { token: Token(u32::MAX - index), open: 1, failures: 0, is_responsive: false };
+    let load = |index| Load {
+        token: Token(u32::MAX - index),
+        running: 1,
+        idle: 0,
+        failures: 0,
+        is_responsive: false,
+    };
     let report = Report {
         revision: 1_000_000,
         plan_version: 100_000,
--- a/tests/relay_tokens.rs
+++ b/tests/relay_tokens.rs
@@ -61,7 +61,7 @@
     forwarder
 }
 
-const DATA: Kind = Kind::Data { request: true };
+const DATA: Kind = Kind::Data { request: true, acked: 0 };
 
 #[test]
 fn known_token() {
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -421,7 +421,7 @@
         if !self.is_current(request, port) || self.frozen[instance] {
             return;
         }
-        let packet = self.packet(request, Kind::Data { request: true });
+        let packet = self.packet(request, Kind::Data { request: true, acked: 0 });
         let verdict = self.forwarders[instance].receive(Time(self.now), &packet);
         if let Verdict::Forward(destination) = verdict {
             assert_eq!(destination.target, self.requests[request].target, "an open flow keeps its target");
