Let requests on open flows wait for their target in a flood

Cause: in a flood of requests on flows that are already open no opening packet can be refused, so all of them were forwarded, filled the targets' queues, and urgent requests on new flows found an expected wait over their limit.

A request on an open flow now waits at the instance under the limit of its class, newest first; late ones get slots that would stay free. relay::pacing holds the rule.

--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -50,6 +50,12 @@
     arrived: Time,
 }
 
+impl DeferredPacket {
+    fn is_same_flow(&self, packet: &Packet) -> bool {
+        self.packet.client == packet.client && self.packet.address == packet.address
+    }
+}
+
 /// Receives packets and decides on them until the process ends.
 pub(super) async fn run(shared: Rc<Shared>) {
     let deferred = Rc::new(RefCell::new(Vec::new()));
@@ -86,6 +92,10 @@
     if replace_retransmitted(&mut deferred, &packet, bytes, now) {
         return;
     }
+    if matches!(packet.kind, Kind::Close | Kind::Abort) {
+        // The client no longer waits for the answers to the flow's requests.
+        deferred.retain(|item| !item.is_same_flow(&packet));
+    }
     let verdict = shared.forwarder.borrow_mut().receive(now, &packet);
     let limit_ms = match verdict {
         Verdict::Queue => u64::MAX,
@@ -100,20 +110,22 @@
     deferred.push(DeferredPacket { packet, bytes: bytes.to_vec(), arrived: now });
 }
 
-/// Replaces a deferred opening packet by its retransmission. Returns whether there was
-/// one, so that a flow is deferred only once.
+/// Replaces a deferred opening packet by its retransmission, and ignores that of a deferred
+/// request. Returns whether the packet was a retransmission, so that a flow is deferred only
+/// once.
 fn replace_retransmitted(deferred: &mut [DeferredPacket], packet: &Packet, bytes: &[u8], now: Time) -> bool {
-    if !matches!(packet.kind, Kind::Open { copy } if copy > 0) {
-        return false;
+    let mut same_flow = deferred.iter_mut().filter(|item| item.is_same_flow(packet));
+    match packet.kind {
+        Kind::Open { copy } if copy > 0 => {
+            let Some(item) = same_flow.next() else {
+                return false;
+            };
+            *item = DeferredPacket { packet: *packet, bytes: bytes.to_vec(), arrived: now };
+            true
+        }
+        Kind::Data { request: true, .. } => same_flow.any(|item| item.bytes == bytes),
+        _ => false,
     }
-    let same = |other: &&mut DeferredPacket| {
-        other.packet.client == packet.client && other.packet.address == packet.address
-    };
-    let Some(item) = deferred.iter_mut().find(same) else {
-        return false;
-    };
-    *item = DeferredPacket { packet: *packet, bytes: bytes.to_vec(), arrived: now };
-    true
 }
 
 fn perform(
@@ -179,12 +191,25 @@
 /// Decides again on all deferred packets.
 fn decide_deferred(shared: &Shared, deferred: &RefCell<Vec<DeferredPacket>>, out: &mut Vec<u8>) {
     let batch = std::mem::take(&mut *deferred.borrow_mut());
+    // Targets and routes whose requests have to wait: older ones wait too.
+    let mut full = Vec::new();
     // Latest first, as that packet is most likely to meet its latency objective.
     for item in batch.into_iter().rev() {
+        let is_request = matches!(item.packet.kind, Kind::Data { .. });
+        let key = (item.packet.token, item.packet.address);
+        if is_request && full.contains(&key) {
+            deferred.borrow_mut().push(item);
+            continue;
+        }
         let now = now();
         let verdict = shared.forwarder.borrow_mut().decide(now, &item.packet, item.arrived);
         match verdict {
-            Verdict::Queue => deferred.borrow_mut().push(item),
+            Verdict::Queue => {
+                if is_request {
+                    full.push(key);
+                }
+                deferred.borrow_mut().push(item);
+            }
             Verdict::Defer(deferral) if now.since(item.arrived) < max_wait_ms(deferral) => {
                 deferred.borrow_mut().push(item);
             }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -20,6 +20,7 @@
 | [`report_interval`] | how often instances report, by the size of the fleet |
 | [`cells`] | groups of instances in a large fleet that share some of the targets |
 | [`mix`] | recent traffic of each service by class |
+| [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
 | [`outlier`] | ejection of targets that do not answer |
 | [`gossip`] | messages between instances and their encoding |
@@ -56,6 +57,7 @@
 pub mod load;
 pub mod mix;
 pub mod outlier;
+pub mod pacing;
 pub mod peers;
 pub mod placement;
 pub mod report_interval;
--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -27,7 +27,12 @@
             .filter(|candidate| !candidate.is_ejected)
             .map(|candidate| (limit(candidate) - candidate.running).max(0.0))
             .sum();
-        Budget { remaining: spare / instances.max(1) as f32 }
+        Budget::share(spare, instances)
+    }
+
+    /// Returns this instance's share of some spare capacity.
+    pub fn share(spare: f32, instances: usize) -> Budget {
+        Budget { remaining: spare.max(0.0) / instances.max(1) as f32 }
     }
 
     /// Takes one flow out of the budget; returns whether it was granted. A remainder below
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -8,6 +8,7 @@
 */
 
 mod opening;
+mod request;
 mod sync;
 mod verdict;
 
@@ -22,11 +23,12 @@
     budget::{self, Budget},
     catalog::{Catalog, Target},
     cells::Cell,
-    flows::{Activity, Flow, FlowKey, Flows, IDLE_COUNTED_MS, MoveDetector},
+    flows::{Activity, Flow, FlowKey, Flows, MoveDetector},
     habit::Habits,
     load::Loads,
     mix::Mix,
     outlier::Outliers,
+    pacing::Pacing,
     peers::Peers,
     placement::{self, Candidate},
 };
@@ -36,10 +38,6 @@
 /// longer than scheduling delays, far shorter than a client's time-out.
 pub const PAUSE_MS: u64 = 500;
 
-/// Time for which a request counts if its answer is not seen, in milliseconds: longer than
-/// the longest queueing delay at a target.
-const FLOW_EXPIRY_MS: u64 = 2_000;
-
 /// Time for which requests count whose flow the network fabric may have moved, as a multiple of the
 /// service's mean duration.
 const MOVED_FLOW_EXPIRY_MEANS: f32 = 2.0;
@@ -106,6 +104,7 @@
     notices: Vec<Notice>,
     is_leaving: bool,
     mix: Mix,
+    pacing: Pacing,
     habits: Habits,
     move_detector: MoveDetector,
     /// Budgets of this round, by service and class.
@@ -142,6 +141,7 @@
             notices: Vec::new(),
             is_leaving: false,
             mix: Mix::default(),
+            pacing: Pacing::default(),
             habits: Habits::default(),
             move_detector: MoveDetector::default(),
             budgets: Vec::new(),
@@ -221,12 +221,12 @@
         }
         match packet.kind {
             Kind::Open { copy } => self.open(now, packet, copy, arrived),
-            _ => self.forward(now, packet),
+            _ => self.forward(now, packet, arrived),
         }
     }
 
     /// Decides on a packet of an open flow.
-    fn forward(&mut self, now: Time, packet: &Packet) -> Verdict {
+    fn forward(&mut self, now: Time, packet: &Packet, arrived: Time) -> Verdict {
         if packet.token == Token::NONE {
             return Verdict::Drop(DropReason::NoToken);
         }
@@ -248,124 +248,15 @@
             return Verdict::Drop(DropReason::WrongService);
         }
         let destination = destination(index, target);
+        let class = route.class;
+        if self.must_wait(now, packet, index, class, arrived) {
+            let has_time = now.since(arrived) < class.timeout_ms;
+            return if has_time { Verdict::Queue } else { Verdict::Drop(DropReason::RequestExpired) };
+        }
         self.track_flow(now, packet, index, service);
         Verdict::Forward(destination)
     }
 
-    /// Updates the record of a packet's flow, and the answers and samples of its target.
-    fn track_flow(&mut self, now: Time, packet: &Packet, target: usize, service: usize) {
-        let key = FlowKey::of(packet.client, packet.address);
-        match packet.kind {
-            Kind::Open { .. } => {}
-            Kind::Data { request: true, acked } => self.track_request(now, packet, target, acked),
-            Kind::Data { request: false, acked } => {
-                let Some(flow) = self.flows.get(key) else {
-                    // The fabric has moved the flow to this instance.
-                    self.move_detector.record_end(false);
-                    let expires = now + IDLE_COUNTED_MS;
-                    self.insert(
-                        key,
-                        Flow { activity: Activity::Idle, expires, ..unplaced(now, target, acked) },
-                    );
-                    return;
-                };
-                match flow.activity {
-                    Activity::Opening => self.note_open(now, key, target, acked),
-                    Activity::Running if flow.is_answered_by(acked) => {
-                        self.record_answer(now, key, target, service);
-                    }
-                    Activity::Running | Activity::Idle => {}
-                }
-            }
-            Kind::Close | Kind::Abort => {
-                let Some(flow) = self.flows.get(key) else {
-                    self.move_detector.record_end(false);
-                    return;
-                };
-                if flow.activity.is_running() && packet.kind == Kind::Close {
-                    self.record_answer(now, key, target, service);
-                }
-                let Some(flow) = self.flows.remove(key) else {
-                    return;
-                };
-                self.loads.remove(flow.target, flow.activity);
-                if flow.is_own {
-                    self.move_detector.record_end(true);
-                }
-                if flow.is_own && flow.answers == 1 {
-                    self.habits.record(packet.address, false);
-                }
-                self.note_answer(target, now);
-            }
-        }
-    }
-
-    /// Counts a request that starts on a flow, also on one that this instance did not see
-    /// before.
-    fn track_request(&mut self, now: Time, packet: &Packet, target: usize, acked: u32) {
-        let key = FlowKey::of(packet.client, packet.address);
-        let is_sample = self.has_free_slot(target);
-        let expires = now + FLOW_EXPIRY_MS;
-        let Some(flow) = self.flows.get_mut(key) else {
-            self.insert(key, Flow { is_sample, expires, ..unplaced(now, target, acked) });
-            return;
-        };
-        flow.last_active = now;
-        flow.expires = expires;
-        if flow.activity == Activity::Opening {
-            return self.note_open(now, key, target, acked);
-        }
-        let is_next = flow.activity == Activity::Idle || flow.is_answered_by(acked);
-        if !is_next {
-            return;
-        }
-        let former = std::mem::replace(&mut flow.activity, Activity::Running);
-        (flow.started, flow.acked, flow.is_sample) = (now, acked, is_sample);
-        let target = flow.target;
-        let is_second = flow.is_own && flow.answers == 1;
-        self.loads.remove(target, former);
-        self.loads.add(target, Activity::Running);
-        if is_second {
-            self.habits.record(packet.address, true);
-        }
-    }
-
-    /// Records that the client has gone on after the target's first answer.
-    fn note_open(&mut self, now: Time, key: FlowKey, target: usize, acked: u32) {
-        if let Some(flow) = self.flows.get_mut(key) {
-            flow.activity = Activity::Running;
-            flow.acked = acked;
-            flow.expires = now + FLOW_EXPIRY_MS;
-        }
-        self.note_answer(target, now);
-    }
-
-    /// Records that the answer to a flow's request reaches the client.
-    fn record_answer(&mut self, now: Time, key: FlowKey, target: usize, service: usize) {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return;
-        };
-        let former = std::mem::replace(&mut flow.activity, Activity::Idle);
-        flow.answers += 1;
-        flow.expires = flow.last_active + IDLE_COUNTED_MS;
-        let (counted, time_ms) = (flow.target, now.since(flow.started));
-        let is_sample = flow.is_sample && flow.target == target;
-        if flow.answers == 1 && flow.is_own {
-            self.move_detector.record_end(true);
-        }
-        self.loads.remove(counted, former);
-        self.loads.add(counted, Activity::Idle);
-        if is_sample {
-            self.loads.sample(target, service, time_ms, now);
-        }
-        self.note_answer(target, now);
-    }
-
-    fn has_free_slot(&self, target: usize) -> bool {
-        let slots = self.catalog.target(target).map_or(0, |target| target.record.entry.slots);
-        self.loads.running(target) < slots
-    }
-
     /// Records that a target answered a client.
     fn note_answer(&mut self, target: usize, now: Time) {
         self.outliers.record_answer(target, now);
@@ -408,6 +299,7 @@
         self.loads.expire(now);
         self.mix.tick(now);
         self.budgets.fill(Default::default());
+        self.pacing.tick();
         self.peers.forget(now);
         self.update_zones(now);
         self.catalog.forget(now, self.settings.max_flow_lifetime_ms);
@@ -452,6 +344,7 @@
         self.notices.push(Notice::Paused { gap_ms });
         self.flows.clear();
         self.loads.clear();
+        self.pacing.clear();
         self.peers.resume(now);
         self.resumed = Some(now);
     }
@@ -467,21 +360,6 @@
     }
 }
 
-/// Flow with a request whose opening packet this instance has not forwarded.
-fn unplaced(now: Time, target: usize, acked: u32) -> Flow {
-    Flow {
-        target,
-        activity: Activity::Running,
-        started: now,
-        last_active: now,
-        acked,
-        answers: 0,
-        is_sample: false,
-        is_own: false,
-        expires: now,
-    }
-}
-
 fn destination(index: usize, target: &Target) -> Destination {
     let entry = &target.record.entry;
     Destination { target: index, address: entry.address, number: entry.number, token: target.token }
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -222,7 +222,7 @@
 
     /// Number of instances that place flows, as far as is known. Soon after a start it
     /// includes peers that have not reported yet.
-    fn instances(&self, now: Time) -> usize {
+    pub(super) fn instances(&self, now: Time) -> usize {
         let is_one_cell = self.peers.cell().count == 1;
         let known =
             if is_one_cell && self.has_just_started(now) { self.peers.known_peers().count() } else { 0 };
@@ -279,7 +279,13 @@
         self.peers.unreported_cell_peers() as f32 * own as f32 / cell_targets.len().max(1) as f32
     }
 
-    fn candidate(&self, now: Time, index: usize, target: &Target, unreported_flows: f32) -> Candidate {
+    pub(super) fn candidate(
+        &self,
+        now: Time,
+        index: usize,
+        target: &Target,
+        unreported_flows: f32,
+    ) -> Candidate {
         let entry = &target.record.entry;
         let last_answer = self.last_answer.get(index).copied().unwrap_or_default();
         let is_unreachable =
--- /dev/null
+++ b/src/relay/forwarder/request.rs
@@ -0,0 +1,217 @@
+//! Requests on open flows: when they may start, and when the client's packets show that
+//! they are answered.
+
+use super::Forwarder;
+use crate::{
+    relay::{
+        Class, Kind, Packet, budget,
+        catalog::State,
+        flows::{Activity, Flow, FlowKey, IDLE_COUNTED_MS},
+        pacing::Request,
+        placement::Demand,
+    },
+    time::Time,
+};
+
+/// Time for which a request counts if its answer is not seen, in milliseconds: longer than
+/// the longest queueing delay at a target.
+const REQUEST_EXPIRY_MS: u64 = 2_000;
+
+impl Forwarder {
+    /// Whether a packet starts a request that has to wait for its target.
+    pub(super) fn must_wait(
+        &mut self,
+        now: Time,
+        packet: &Packet,
+        index: usize,
+        class: Class,
+        arrived: Time,
+    ) -> bool {
+        let Kind::Data { request: true, acked } = packet.kind else {
+            return false;
+        };
+        // After a pause the counts start again at zero, and a process that shuts down must not
+        // keep packets.
+        if self.is_leaving || self.resumed.is_some() || !self.starts_request(packet, acked) {
+            return false;
+        }
+        let Some(target) = self.catalog.target(index) else {
+            return false;
+        };
+        if !matches!(target.record.state, State::Ready | State::Missing) {
+            return false;
+        }
+        let candidate = self.candidate(now, index, target, 0.0);
+        if candidate.is_ejected {
+            return false;
+        }
+        let service = target.service;
+        if now == arrived {
+            self.mix.record(service, class.priority);
+        }
+        let demand = self.request_demand(now, service, class, arrived);
+        let request = Request {
+            target: index,
+            running: candidate.running,
+            slots: candidate.slots,
+            limit: self.settings.placement.max_open(&demand, &candidate),
+            class: budget::class_index(demand.priority_rank, demand.is_late),
+            instances: self.instances(now),
+        };
+        !self.pacing.admit(&request, &mut self.random)
+    }
+
+    /// Whether a packet with bytes of a request is the first one of it.
+    fn starts_request(&self, packet: &Packet, acked: u32) -> bool {
+        match self.flows.get(FlowKey::of(packet.client, packet.address)) {
+            None => true,
+            Some(flow) => match flow.activity {
+                Activity::Opening => false,
+                Activity::Running => flow.is_answered_by(acked),
+                Activity::Idle => true,
+            },
+        }
+    }
+
+    fn request_demand(&self, now: Time, service: usize, class: Class, arrived: Time) -> Demand {
+        let mean_ms = self.loads.mean_ms(service);
+        let left_ms = class.objective_ms.saturating_sub(now.since(arrived)) as f32;
+        Demand {
+            objective_ms: class.objective_ms as f32,
+            priority_rank: self.mix.priority_rank(service, class.priority),
+            is_late: left_ms < mean_ms,
+            is_lasting: true,
+            mean_ms,
+        }
+    }
+
+    /// Updates the record of a packet's flow, and the answers and samples of its target.
+    pub(super) fn track_flow(&mut self, now: Time, packet: &Packet, target: usize, service: usize) {
+        let key = FlowKey::of(packet.client, packet.address);
+        match packet.kind {
+            Kind::Open { .. } => {}
+            Kind::Data { request: true, acked } => self.track_request(now, packet, target, acked),
+            Kind::Data { request: false, acked } => {
+                let Some(flow) = self.flows.get(key) else {
+                    // The fabric has moved the flow to this instance.
+                    self.move_detector.record_end(false);
+                    let expires = now + IDLE_COUNTED_MS;
+                    self.insert(
+                        key,
+                        Flow { activity: Activity::Idle, expires, ..unplaced(now, target, acked) },
+                    );
+                    return;
+                };
+                match flow.activity {
+                    Activity::Opening => self.note_open(now, key, target, acked),
+                    Activity::Running if flow.is_answered_by(acked) => {
+                        self.record_answer(now, key, target, service);
+                    }
+                    Activity::Running | Activity::Idle => {}
+                }
+            }
+            Kind::Close | Kind::Abort => {
+                let Some(flow) = self.flows.get(key) else {
+                    self.move_detector.record_end(false);
+                    return;
+                };
+                if flow.activity.is_running() && packet.kind == Kind::Close {
+                    self.record_answer(now, key, target, service);
+                }
+                let Some(flow) = self.flows.remove(key) else {
+                    return;
+                };
+                self.loads.remove(flow.target, flow.activity);
+                if flow.is_own {
+                    self.move_detector.record_end(true);
+                }
+                if flow.is_own && flow.answers == 1 {
+                    self.habits.record(packet.address, false);
+                }
+                self.note_answer(target, now);
+            }
+        }
+    }
+
+    /// Counts a request that starts on a flow, also on one that this instance did not see
+    /// before.
+    fn track_request(&mut self, now: Time, packet: &Packet, target: usize, acked: u32) {
+        let key = FlowKey::of(packet.client, packet.address);
+        let is_sample = self.has_free_slot(target);
+        let expires = now + REQUEST_EXPIRY_MS;
+        let Some(flow) = self.flows.get_mut(key) else {
+            self.insert(key, Flow { is_sample, expires, ..unplaced(now, target, acked) });
+            return;
+        };
+        flow.last_active = now;
+        flow.expires = expires;
+        if flow.activity == Activity::Opening {
+            return self.note_open(now, key, target, acked);
+        }
+        let is_next = flow.activity == Activity::Idle || flow.is_answered_by(acked);
+        if !is_next {
+            return;
+        }
+        let former = std::mem::replace(&mut flow.activity, Activity::Running);
+        (flow.started, flow.acked, flow.is_sample) = (now, acked, is_sample);
+        let target = flow.target;
+        let is_second = flow.is_own && flow.answers == 1;
+        self.loads.remove(target, former);
+        self.loads.add(target, Activity::Running);
+        if is_second {
+            self.habits.record(packet.address, true);
+        }
+    }
+
+    /// Records that the client has gone on after the target's first answer.
+    fn note_open(&mut self, now: Time, key: FlowKey, target: usize, acked: u32) {
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.activity = Activity::Running;
+            flow.acked = acked;
+            flow.expires = now + REQUEST_EXPIRY_MS;
+        }
+        self.note_answer(target, now);
+    }
+
+    /// Records that the answer to a flow's request reaches the client.
+    fn record_answer(&mut self, now: Time, key: FlowKey, target: usize, service: usize) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        let former = std::mem::replace(&mut flow.activity, Activity::Idle);
+        flow.answers += 1;
+        flow.expires = flow.last_active + IDLE_COUNTED_MS;
+        let (counted, time_ms) = (flow.target, now.since(flow.started));
+        let is_sample = flow.is_sample && flow.target == target;
+        if flow.answers == 1 && flow.is_own {
+            self.move_detector.record_end(true);
+        }
+        self.loads.remove(counted, former);
+        self.loads.add(counted, Activity::Idle);
+        self.pacing.record_end(counted);
+        if is_sample {
+            self.loads.sample(target, service, time_ms, now);
+        }
+        self.note_answer(target, now);
+    }
+
+    fn has_free_slot(&self, target: usize) -> bool {
+        let slots = self.catalog.target(target).map_or(0, |target| target.record.entry.slots);
+        self.loads.running(target) < slots
+    }
+}
+
+/// Flow with a request whose opening packet this instance has not forwarded.
+fn unplaced(now: Time, target: usize, acked: u32) -> Flow {
+    Flow {
+        target,
+        activity: Activity::Running,
+        started: now,
+        last_active: now,
+        acked,
+        answers: 0,
+        is_sample: false,
+        is_own: false,
+        expires: now,
+    }
+}
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -68,6 +68,8 @@
     WrongService,
     /// Its route was removed from the plan.
     RouteRemoved,
+    /// It starts a request that has waited for its target until the timeout of its class.
+    RequestExpired,
 }
 
 /// Target that a packet is forwarded to.
@@ -94,7 +96,7 @@
     Drop(DropReason),
     /// Keep it until the missing state arrives, for a limited time.
     Defer(Deferral),
-    /// Keep it and decide again soon: no slot is free yet, and there is still time.
+    /// Keep it and decide again soon: no slot of its target is free yet, and there is still time.
     Queue,
 }
 
