--- a/crates/ragwortlbd/src/relay/decisions.rs
+++ b/crates/ragwortlbd/src/relay/decisions.rs
@@ -1,7 +1,8 @@
-//! Log lines about opening packets: the decision and the state that led to it.
+//! Log lines about opening packets and about requests that waited: the decision and the
+//! state that led to it.
 //!
 //! The packet path does not parse the requests inside a flow, so a line identifies the
-//! flow by the client's address and the called address. Both kinds of line have a rate
+//! flow by the client's address and the called address. All kinds of line have a rate
 //! limit, as a flood refuses thousands of flows a second.
 
 use std::fmt;
@@ -51,3 +52,32 @@
         "E721 flow refused"
     );
 }
+
+/// Logs that a request of an open flow started after it had waited for its target, unless the
+/// rate limit is reached.
+pub(super) fn started(shared: &Shared, packet: &Packet, destination: &Destination, waited_ms: u64) {
+    if !shared.waits.accept() {
+        return;
+    }
+    let forwarder = shared.forwarder.borrow();
+    let Some(placement) = forwarder.placement(destination.target) else {
+        return;
+    };
+    log::info!(
+        client:% = packet.client, address:% = packet.address, waited_ms,
+        target:% = placement.target, token = destination.token.0,
+        own = placement.own, running = placement.running, flows = placement.flows, slots = placement.slots;
+        "E725 a request on an open flow waited for its target"
+    );
+}
+
+/// Logs that a request of an open flow was dropped as it had waited until its timeout, unless
+/// the rate limit is reached.
+pub(super) fn expired(shared: &Shared, packet: &Packet, waited_ms: u64) {
+    if shared.waits.accept() {
+        log::info!(
+            client:% = packet.client, address:% = packet.address, waited_ms, token = packet.token.0;
+            "E726 a request on an open flow was dropped at the timeout of its class"
+        );
+    }
+}
--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -3,14 +3,15 @@
 //! A packet that cannot be decided on yet is deferred if a plan, route or target is
 //! missing, and queued if no slot is free. Both are kept in one list and decided again at
 //! each tick and when the state changes. A deferred packet expires after a time limit; the
-//! forwarder refuses a queued one when its wait becomes too long.
+//! forwarder refuses a queued opening packet when its wait becomes too long, and drops a
+//! queued request at the timeout of its class.
 
 use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, time::Duration};
 
 use ragwortlb::{
     relay::{
         Kind, Packet,
-        forwarder::{Deferral, Refusal, Verdict},
+        forwarder::{Deferral, DropReason, Refusal, Verdict},
     },
     time::Time,
 };
@@ -142,6 +143,9 @@
             if matches!(packet.kind, Kind::Open { .. }) {
                 increment(&shared.counts.placed);
                 decisions::placed(shared, packet, &destination, waited_ms);
+            } else if waited_ms > 0 {
+                increment(&shared.counts.paced);
+                decisions::started(shared, packet, &destination, waited_ms);
             }
             increment(&shared.counts.forwarded);
             send(shared, out, destination.address);
@@ -156,6 +160,10 @@
             decisions::refused(shared, packet, &refusal, waited_ms);
             refuse(shared, packet);
         }
+        Verdict::Drop(DropReason::RequestExpired) => {
+            increment(&shared.counts.expired);
+            decisions::expired(shared, packet, waited_ms);
+        }
         Verdict::Drop(_) | Verdict::Defer(_) | Verdict::Queue => increment(&shared.counts.dropped),
     }
 }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -37,6 +37,8 @@
     pub refused_unknown: Cell<u64>,
     pub dropped: Cell<u64>,
     pub deferred: Cell<u64>,
+    pub paced: Cell<u64>,
+    pub expired: Cell<u64>,
     pub malformed: Cell<u64>,
     pub unsent: Cell<u64>,
     pub store_calls: Cell<u64>,
@@ -82,8 +84,8 @@
     }
 }
 
-/// State of one instance. The four limiters are for lines about placed flows, refused
-/// flows, unanswered opening packets and peers.
+/// State of one instance. The five limiters are for lines about placed flows, refused
+/// flows, requests that waited, unanswered opening packets and peers.
 pub(super) struct Shared {
     pub settings: Settings,
     pub forwarder: RefCell<Forwarder>,
@@ -92,6 +94,7 @@
     pub counts: Counters,
     pub placements: LineLimiter,
     pub refusals: LineLimiter,
+    pub waits: LineLimiter,
     pub unanswered: LineLimiter,
     pub peers: LineLimiter,
     /// Notified when the catalog has changed, so that deferred and queued packets are decided
@@ -120,6 +123,7 @@
             counts,
             placements: LineLimiter::default(),
             refusals: LineLimiter::default(),
+            waits: LineLimiter::default(),
             unanswered: LineLimiter::default(),
             peers: LineLimiter::default(),
             state_changed: Notify::new(),
@@ -135,6 +139,7 @@
     pub fn log_notices(&self) {
         self.placements.start_second(now(), "placements");
         self.refusals.start_second(now(), "refusals");
+        self.waits.start_second(now(), "requests that waited");
         self.peers.start_second(now(), "peers");
         self.unanswered.start_second(now(), "targets that did not answer");
         let notices = self.forwarder.borrow_mut().take_notices();
@@ -201,7 +206,7 @@
 type Metric = (&'static str, &'static str, u64);
 
 impl Shared {
-    fn counters(&self) -> [Metric; 14] {
+    fn counters(&self) -> [Metric; 16] {
         let counts = &self.counts;
         [
             ("packets_forwarded", "Packets sent to targets", counts.forwarded.get()),
@@ -219,6 +224,8 @@
             ),
             ("packets_dropped", "Packets dropped", counts.dropped.get()),
             ("packets_parked", "Packets that were deferred or queued", counts.deferred.get()),
+            ("requests_paced", "Requests on open flows that waited for their target", counts.paced.get()),
+            ("requests_expired", "Requests on open flows dropped at the timeout", counts.expired.get()),
             ("packets_malformed", "Datagrams that were not valid packets", counts.malformed.get()),
             ("datagrams_unsent", "Datagrams dropped as they could not be sent", counts.unsent.get()),
             ("store_calls", "Calls to the platform's store", counts.store_calls.get()),
