--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -94,3 +94,49 @@
         forwarder.receive(Time(1), black_box(&packet))
     });
 }
+
+/// Forwarder of one instance of a fleet with two targets an instance, that has just heard from
+/// all peers.
+fn fleet_member(instances: usize) -> Forwarder {
+    let mut forwarder = forwarder(2 * instances);
+    for index in 1..instances {
+        let from = SocketAddrV4::new(Ipv4Addr::new(10, 1, (index >> 8) as u8, index as u8), 7_720);
+        let (name, zone) = (format!("edge-{index}").into(), format!("zone-{}", index % 5).into());
+        forwarder.peers_mut().record_peer(&name, &zone, from, Time(1));
+    }
+    forwarder.tick(Time(1));
+    forwarder
+}
+
+const FLEET_SIZES: [usize; 6] = [10, 30, 75, 150, 300, 580];
+
+#[divan::bench(args = FLEET_SIZES)]
+fn tick(bencher: Bencher, instances: usize) {
+    let mut forwarder = fleet_member(instances);
+    let mut now = 0;
+    bencher.bench_local(|| {
+        // Ten milliseconds a tick; the time starts again before peers time out.
+        now = (now + 10) % 400;
+        forwarder.tick(Time(3_000 + now));
+    });
+}
+
+#[divan::bench(args = FLEET_SIZES)]
+fn report_round(bencher: Bencher, instances: usize) {
+    let mut forwarder = fleet_member(instances);
+    let mut round = 0;
+    bencher.bench_local(|| {
+        round += 1;
+        let report = forwarder.report(Time(3_000));
+        (report.loads.len(), forwarder.peers().report_recipients(round, Time(3_000)).count())
+    });
+}
+
+#[divan::bench(args = FLEET_SIZES)]
+fn role_checks(bencher: Bencher, instances: usize) {
+    let forwarder = fleet_member(instances);
+    bencher.bench_local(|| {
+        let now = Time(3_000);
+        (forwarder.takeover_delay_ms(now), forwarder.peers().has_later_plan(1, now))
+    });
+}
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -42,6 +42,10 @@
 /// service's mean duration.
 const MOVED_FLOW_EXPIRY_MEANS: f32 = 2.0;
 
+/// Interval of the work that goes through all peers and targets, in milliseconds. Peers and
+/// zones time out after several times as long.
+const FLEET_TICK_INTERVAL_MS: u64 = 100;
+
 /// Time without an update after which the next instance by rank reads the store in place
 /// of the reader, in milliseconds: a call of the reader to the store, the answer and a
 /// margin.
@@ -94,6 +98,7 @@
     random: Pcg64Mcg,
     started: Option<Time>,
     last_tick: Option<Time>,
+    last_fleet_tick: Time,
     /// End of a pause, until the state is confirmed.
     resumed: Option<Time>,
     /// Unreachable availability zones, with the time of their last message.
@@ -136,6 +141,7 @@
             random,
             started: None,
             last_tick: None,
+            last_fleet_tick: Time(0),
             resumed: None,
             unreachable: Vec::new(),
             candidates: Vec::new(),
@@ -296,13 +302,21 @@
                 Activity::Idle => {}
             }
         }
-        let has_just_started = self.has_just_started(now);
-        self.peers.tick(&self.settings.name, has_just_started, now);
-        self.update_cell_targets();
         self.loads.expire(now);
         self.mix.tick(now);
         self.budgets.fill(Default::default());
         self.pacing.tick();
+        let has_just_started = self.has_just_started(now);
+        if has_just_started || now.since(self.last_fleet_tick) >= FLEET_TICK_INTERVAL_MS {
+            self.last_fleet_tick = now;
+            self.tick_fleet(now, has_just_started);
+        }
+        self.update_cell_targets();
+    }
+
+    /// Runs the periodic work that goes through all peers and targets.
+    fn tick_fleet(&mut self, now: Time, has_just_started: bool) {
+        self.peers.tick(&self.settings.name, has_just_started, now);
         self.peers.forget(now);
         self.update_zones(now);
         self.catalog.forget(now, self.settings.max_flow_lifetime_ms);
