Draw the fractional share of a paced round once

Cause, found by the new test shared_capacity: a remainder below one was drawn again for each request that asked in a round, so 6.75 requests started for 3.5 that the target had room for. Ruled out for opening packets: the same change there made one booking of 156 late after a full outage (full_outage), so their budget is unchanged.

--- a/src/relay/budget.rs
+++ b/src/relay/budget.rs
@@ -46,6 +46,16 @@
         granted
     }
 
+    /// Like [`take`](Self::take), but draws the remainder only once, for requests that ask
+    /// again in each round.
+    pub fn take_or_close(&mut self, random: &mut impl Rng) -> bool {
+        let granted = self.take(random);
+        if !granted {
+            self.remaining = 0.0;
+        }
+        granted
+    }
+
     /// Remaining flows.
     pub fn remaining(&self) -> f32 {
         self.remaining
--- a/src/relay/pacing.rs
+++ b/src/relay/pacing.rs
@@ -118,6 +118,6 @@
         let spare = request.limit - request.running;
         let budget =
             self.budgets[request.class].get_or_insert_with(|| Budget::share(spare, request.instances));
-        budget.take(random)
+        budget.take_or_close(random)
     }
 }
