--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -38,8 +38,8 @@
 /// longer than scheduling delays, far shorter than a client's time-out.
 pub const PAUSE_MS: u64 = 500;
 
-/// Time for which requests count whose flow the network fabric may have moved, as a multiple of the
-/// service's mean duration.
+/// Time for which requests count whose flow the network fabric may have moved, as a multiple
+/// of the service's mean service time.
 const MOVED_FLOW_EXPIRY_MEANS: f32 = 2.0;
 
 /// Interval of the work that goes through all peers and targets, in milliseconds. Peers and
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -199,7 +199,7 @@
         let instances = self.instances(now);
         let placement = &self.settings.placement;
         let slot = &mut self.budgets[service][budget::class_index(demand.priority_rank, demand.is_late)];
-        let limit = |candidate: &Candidate| placement.max_open(demand, candidate);
+        let limit = |candidate: &Candidate| placement.max_running(demand, candidate);
         let budget = slot.get_or_insert_with(|| Budget::new(candidates, limit, instances));
         budget.take(&mut self.random)
     }
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -59,7 +59,7 @@
             target: index,
             running: candidate.running,
             slots: candidate.slots,
-            limit: self.settings.placement.max_open(&demand, &candidate),
+            limit: self.settings.placement.max_running(&demand, &candidate),
             class: budget::class_index(demand.priority_rank, demand.is_late),
             instances: self.instances(now),
         };
--- a/src/relay/placement.rs
+++ b/src/relay/placement.rs
@@ -140,7 +140,7 @@
     /// Running flows up to which a flow may be added to a target: there the expected wait
     /// reaches the limit of its class, or late requests have filled their share of the
     /// slots.
-    pub fn max_open(&self, demand: &Demand, candidate: &Candidate) -> f32 {
+    pub fn max_running(&self, demand: &Demand, candidate: &Candidate) -> f32 {
         if demand.is_late {
             return candidate.slots * self.late_fill;
         }
