Count and pace moved flows only if their answers are seen here

Its fabric sends each packet of a flow to the other instance, so requests counted where their ends were not seen, and later ones waited or were refused. Ruled out: load (it failed alone too) and the stand-in's client, which did not change.

Ends are announced as moves are. The first request of a flow without a record is not paced, and counts only if most of such requests are answered here.

--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -114,6 +114,10 @@
     move_detector: MoveDetector,
     /// Flows that the fabric has moved to this instance since the last report.
     moved: Vec<FlowKey>,
+    /// Flows that ended here since the last report, and that peers may count.
+    ended: Vec<FlowKey>,
+    /// Share of the flows moved here whose next answer was seen here.
+    followed_share: f32,
     /// Budgets of this round, by service and class.
     budgets: Vec<[Option<Budget>; budget::CLASS_COUNT]>,
     /// Whether an update was missed.
@@ -153,6 +157,8 @@
             habits: Habits::default(),
             move_detector: MoveDetector::default(),
             moved: Vec::new(),
+            ended: Vec::new(),
+            followed_share: 1.0,
             budgets: Vec::new(),
             is_behind: false,
             synced_at: Time(0),
@@ -299,7 +305,7 @@
             match expired.activity {
                 Activity::Opening => self.outliers.record_failure(expired.target, now),
                 Activity::Running => self.loads.add(expired.target, Activity::Idle),
-                Activity::Idle => {}
+                Activity::Idle => self.note_lost(&expired),
             }
         }
         self.loads.expire(now);
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -22,6 +22,12 @@
 /// rounds of reports. A flow that moved here within it may have moved on to here.
 const ANNOUNCEMENT_DELAY_MS: u64 = 40;
 
+/// Weight of a moved flow in the exponential moving average of those that are followed.
+const FOLLOWED_WEIGHT: f32 = 0.2;
+
+/// Share of moved flows that have to be followed for their first requests to count.
+const MIN_FOLLOWED_SHARE: f32 = 0.5;
+
 impl Forwarder {
     /// Whether a packet starts a request that has to wait for its target.
     pub(super) fn must_wait(
@@ -63,13 +69,20 @@
             class: budget::class_index(demand.priority_rank, demand.is_late),
             instances: self.instances(now),
         };
-        !self.pacing.admit(&request, &mut self.random)
+        let admitted = self.pacing.admit(&request, &mut self.random);
+        // Without a record the request would no longer be paced.
+        if !admitted && let Some(flow) = self.flows.get_mut(FlowKey::of(packet.client, packet.address)) {
+            flow.expires = flow.expires.max(arrived + class.timeout_ms);
+        }
+        !admitted
     }
 
-    /// Whether a packet with bytes of a request is the first one of it.
+    /// Whether a packet with bytes of a request is the first one of it, on a flow that has a
+    /// record here. The flow of another packet may have been placed by a peer just now, and
+    /// its first request was admitted with it.
     fn starts_request(&self, packet: &Packet, acked: u32) -> bool {
         match self.flows.get(FlowKey::of(packet.client, packet.address)) {
-            None => true,
+            None => false,
             Some(flow) => match flow.activity {
                 Activity::Opening => false,
                 Activity::Running => flow.is_answered_by(acked),
@@ -112,23 +125,32 @@
                     Activity::Running if flow.is_answered_by(acked) => {
                         self.record_answer(now, key, target, service);
                     }
+                    Activity::Idle if flow.answers == 0 && flow.is_answered_by(acked) => {
+                        self.note_followed(flow.is_own, true);
+                    }
                     Activity::Running | Activity::Idle => {}
                 }
             }
             Kind::Close | Kind::Abort => {
                 let Some(flow) = self.flows.get(key) else {
                     self.move_detector.record_end(false);
-                    self.announce_moved(key);
+                    self.announce_end(key);
                     return;
                 };
-                if flow.activity.is_running() && packet.kind == Kind::Close {
+                let activity = flow.activity;
+                if activity == Activity::Opening {
+                    // Its request went to another instance, which still counts it.
+                    self.announce_end(key);
+                }
+                if activity.is_running() && packet.kind == Kind::Close {
                     self.record_answer(now, key, target, service);
                 }
                 let Some(flow) = self.flows.remove(key) else {
                     return;
                 };
                 self.loads.remove(flow.target, flow.activity);
-                if flow.is_own {
+                // Otherwise its first answer was recorded.
+                if flow.is_own && flow.answers == 0 {
                     self.move_detector.record_end(true);
                 }
                 if flow.is_own && flow.answers == 1 {
@@ -147,7 +169,13 @@
         let expires = now + REQUEST_EXPIRY_MS;
         let Some(flow) = self.flows.get_mut(key) else {
             self.announce_moved(key);
-            self.insert(key, Flow { is_sample, expires, ..unplaced(now, target, acked) });
+            // Its answer may be seen by another instance.
+            let (activity, valid_ms) = match self.followed_share >= MIN_FOLLOWED_SHARE {
+                true => (Activity::Running, self.moved_flow_expiry_ms()),
+                false => (Activity::Idle, IDLE_COUNTED_MS),
+            };
+            let expires = now + valid_ms;
+            self.insert(key, Flow { activity, is_sample, expires, ..unplaced(now, target, acked) });
             return;
         };
         flow.last_active = now;
@@ -190,9 +218,13 @@
         flow.expires = flow.last_active + IDLE_COUNTED_MS;
         let (counted, time_ms) = (flow.target, now.since(flow.started));
         let is_sample = flow.is_sample && flow.target == target;
-        if flow.answers == 1 && flow.is_own {
+        let (is_first, is_own) = (flow.answers == 1, flow.is_own);
+        if is_first && is_own {
             self.move_detector.record_end(true);
         }
+        if is_first {
+            self.note_followed(is_own, true);
+        }
         self.loads.remove(counted, former);
         self.loads.add(counted, Activity::Idle);
         self.pacing.record_end(counted);
@@ -209,14 +241,43 @@
         }
     }
 
+    /// Tells peers with the next report that a flow has ended that they may count.
+    fn announce_end(&mut self, key: FlowKey) {
+        if self.ended.len() < gossip::MAX_MOVED {
+            self.ended.push(key);
+        }
+    }
+
     /// Removes the record of a flow that a peer counts from now on.
     pub(super) fn remove_moved(&mut self, key: FlowKey, now: Time) {
         let is_newer = |flow: &Flow| !flow.is_own && now.since(flow.last_active) < ANNOUNCEMENT_DELAY_MS;
-        if self.flows.get(key).is_none_or(is_newer) {
-            return;
+        if !self.flows.get(key).is_none_or(is_newer) {
+            self.remove_record(key);
         }
+    }
+
+    /// Removes the record of a flow.
+    pub(super) fn remove_record(&mut self, key: FlowKey) {
         if let Some(flow) = self.flows.remove(key) {
             self.loads.remove(flow.target, flow.activity);
+            self.note_lost(&flow);
+        }
+    }
+
+    /// Learns from a record that ends without an answer.
+    pub(super) fn note_lost(&mut self, flow: &Flow) {
+        if flow.answers == 0 {
+            self.note_followed(flow.is_own, false);
+        }
+    }
+
+    /// Records whether the answer to the first request of a moved flow was seen here. If most
+    /// are not, the fabric does not keep the packets of a flow together, and the requests of
+    /// moved flows are not counted, as their ends would be seen elsewhere.
+    fn note_followed(&mut self, is_own: bool, is_followed: bool) {
+        if !is_own {
+            let sample = if is_followed { 1.0 } else { 0.0 };
+            self.followed_share += FOLLOWED_WEIGHT * (sample - self.followed_share);
         }
     }
 
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -161,6 +161,9 @@
         for key in &report.moved {
             self.remove_moved(*key, now);
         }
+        for key in &report.ended {
+            self.remove_record(*key);
+        }
         let valid_ms = match self.peers.is_cell_peer(sender) {
             true => load::REPORT_VALID_MS,
             false => self.peers.report_interval().scaled_ms(load::REPORT_VALID_MS),
@@ -185,12 +188,18 @@
                 (running + idle + failures > 0 || is_responsive).then_some(load)
             })
             .collect();
+        let has_peers = self.peers.live(now).next().is_some();
+        let (moved, ended) = match has_peers {
+            true => (std::mem::take(&mut self.moved), std::mem::take(&mut self.ended)),
+            false => Default::default(),
+        };
         Report {
             revision: self.catalog.revision(),
             plan_version: self.catalog.plan().version,
             is_leaving: self.is_leaving,
             loads,
-            moved: std::mem::take(&mut self.moved),
+            moved,
+            ended,
         }
     }
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -97,9 +97,12 @@
     /// Flows that the fabric has moved to the sender since its last report, at most
     /// [`MAX_MOVED`].
     pub moved: Vec<FlowKey>,
+    /// Flows whose end the sender saw, and which another instance may still count, at most
+    /// [`MAX_MOVED`].
+    pub ended: Vec<FlowKey>,
 }
 
-/// Most moved flows in a report, to fit into a datagram beside the loads of a cell.
+/// Most moved or ended flows in a report, to fit into a datagram beside the loads of a cell.
 pub const MAX_MOVED: usize = 32;
 
 /// Target records that changed between two store revisions.
--- a/tests/relay_cells.rs
+++ b/tests/relay_cells.rs
@@ -106,6 +106,7 @@
         is_leaving: false,
         loads: (0..OPEN_FLOWS).map(load).collect(),
         moved: Vec::new(),
+        ended: Vec::new(),
     };
     let frame = Frame { sender: "edge-pa-100".into(), zone: "pa".into(), message: Message::Report(report) };
     let reports: usize = (0..50).map(|round| peers.report_recipients(round, Time(1)).count()).sum();
