Count requests of moved flows only once their answers were seen here

Cause: a new instance assumed that it sees the answers to flows that the fabric moves to it. Behind a fabric that sends each packet to another instance it counted each request for two mean service times or until a peer announced the end, of which a report holds 32; the others kept one of two targets full on paper, and all flows went to the other one.

Ruled out: sampled service times (none are taken in the first two seconds), ejection (two failures within the test are needed, and each takes 450 ms), zones (all are one).

--- a/crates/ragwortlbd/tests/packet_path.rs
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -159,6 +159,7 @@
         let outcome = site.request(ROUTE).await;
         assert!(matches!(&outcome, Outcome::Answer(name) if name.starts_with(b"i-000000")), "{outcome:?}");
     }
+    println!("{:?}", site.targets.iter().map(|target| &target.counts).collect::<Vec<_>>());
     for target in &site.targets {
         assert!(target.counts.ran.load(Ordering::Relaxed) >= 50, "{:?}", target.counts);
         for count in [&target.counts.misaddressed, &target.counts.corrupt, &target.counts.unknown_flow] {
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -116,7 +116,7 @@
     moved: Vec<FlowKey>,
     /// Flows that ended here since the last report, and that peers may count.
     ended: Vec<FlowKey>,
-    /// Share of the flows moved here whose next answer was seen here.
+    /// Share of the flows moved here whose next answer was seen here; zero until one was.
     followed_share: f32,
     /// Budgets of this round, by service and class.
     budgets: Vec<[Option<Budget>; budget::CLASS_COUNT]>,
@@ -158,7 +158,7 @@
             move_detector: MoveDetector::default(),
             moved: Vec::new(),
             ended: Vec::new(),
-            followed_share: 1.0,
+            followed_share: 0.0,
             budgets: Vec::new(),
             is_behind: false,
             synced_at: Time(0),
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -187,7 +187,7 @@
     }
 }
 
-fn address(port: u16) -> SocketAddrV4 {
+pub fn address(port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
 }
 
@@ -690,12 +690,12 @@
 }
 
 /// Name, availability zone and address of an instance.
-fn instance(index: usize) -> (Arc<str>, Arc<str>, SocketAddrV4) {
+pub fn instance(index: usize) -> (Arc<str>, Arc<str>, SocketAddrV4) {
     let from = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index as u8), 7_720);
     (format!("e-{index}").into(), ["pa", "ct", "me"][index % 3].into(), from)
 }
 
-fn plan(loads: &[Load]) -> Plan {
+pub fn plan(loads: &[Load]) -> Plan {
     let route = |load: &Load| Route {
         address: address(load.port),
         shares: vec![WeightedService { service: "matching".into(), weight: 1 }],
@@ -704,7 +704,7 @@
     Plan { version: 1, routes: loads.iter().map(route).collect(), idle_ms: 15_000 }
 }
 
-fn forwarder(index: usize, seed: u64, plan: &Plan, targets: usize, slots: u32) -> Forwarder {
+pub fn forwarder(index: usize, seed: u64, plan: &Plan, targets: usize, slots: u32) -> Forwarder {
     let mut forwarder = Forwarder::new(Settings {
         name: format!("e-{index}").into(),
         zone: ["pa", "ct", "me"][index % 3].into(),
