Send an unchanged report to the cell each 80 ms instead of 20 ms

Cause: an instance of a large fleet gets about ten new flows a second, but reported its flows to the five others of its cell 50 times a second.

Test: relay_cells unchanged_reports.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -128,7 +128,7 @@
     bencher.bench_local(|| {
         round += 1;
         let report = forwarder.report(Time(3_000));
-        (report.loads.len(), forwarder.peers().report_recipients(round, Time(3_000)).count())
+        (report.loads.len(), forwarder.peers().report_recipients(round, true, Time(3_000)).count())
     });
 }
 
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -146,9 +146,15 @@
 /// Sends a load report to the peers that get one in this round.
 fn report(shared: &Shared, now: Time, round: u64) {
     let mut forwarder = shared.forwarder.borrow_mut();
-    let bytes = frame(shared, Message::Report(forwarder.report(now)));
-    for peer in forwarder.peers().report_recipients(round, now) {
-        send_datagram(shared, &bytes, peer.address);
+    let report = forwarder.report(now);
+    let recipients = forwarder.report_recipients(&report, round, now);
+    drop(forwarder);
+    if recipients.is_empty() {
+        return;
+    }
+    let bytes = frame(shared, Message::Report(report));
+    for recipient in recipients {
+        send_datagram(shared, &bytes, recipient);
     }
 }
 
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -24,6 +24,7 @@
     catalog::{Catalog, Target},
     cells::Cell,
     flows::{Activity, Flow, FlowKey, Flows, MoveDetector},
+    gossip::Report,
     habit::Habits,
     load::Loads,
     mix::Mix,
@@ -118,6 +119,8 @@
     ended: Vec<FlowKey>,
     /// Share of the flows moved here whose next answer was seen here; zero until one was.
     followed_share: f32,
+    /// Last report without its revision.
+    last_report: Report,
     /// Budgets of this round, by service and class.
     budgets: Vec<[Option<Budget>; budget::CLASS_COUNT]>,
     /// Whether an update was missed.
@@ -159,6 +162,7 @@
             moved: Vec::new(),
             ended: Vec::new(),
             followed_share: 0.0,
+            last_report: Report::default(),
             budgets: Vec::new(),
             is_behind: false,
             synced_at: Time(0),
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -1,5 +1,7 @@
 //! State that the forwarder gets from the store and from peers, and sends to peers.
 
+use std::net::SocketAddrV4;
+
 use super::{Context, Forwarder, Notice, Placement};
 use crate::{
     relay::{
@@ -202,4 +204,14 @@
             ended,
         }
     }
+
+    /// Addresses of the peers that get a report in this round (see
+    /// [`Peers::report_recipients`]).
+    pub fn report_recipients(&mut self, report: &Report, round: u64, now: Time) -> Vec<SocketAddrV4> {
+        // Each heartbeat of a target advances the revision, and no flow is placed by it.
+        let content = Report { revision: 0, ..report.clone() };
+        let is_changed = content != self.last_report;
+        self.last_report = content;
+        self.peers.report_recipients(round, is_changed, now).map(|peer| peer.address).collect()
+    }
 }
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -20,7 +20,7 @@
 use super::flows::Activity;
 use crate::time::Time;
 
-/// Time after which a report from the same cell expires, in milliseconds: ten missed
+/// Time after which a report from the same cell expires, in milliseconds: three unchanged
 /// reports, and longer than most flows take.
 pub const REPORT_VALID_MS: u64 = 250;
 
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -190,19 +190,27 @@
         self.report_interval = Interval::of(instances - 1 - self.cell_peers.len());
     }
 
-    /// Peers that get a report in this round. Live peers of the cell get one in each round,
-    /// unheard ones in every second round. Live peers of other cells take turns, and peers
-    /// that are not live get one at most twice a second.
-    pub fn report_recipients(&self, round: u64, now: Time) -> impl Iterator<Item = &PeerState> {
+    /// Peers that get a report in this round. Live peers of the cell get one if it has changed,
+    /// else every [`KEEPALIVE_MS`]; unheard ones get one in every second round. Live peers of
+    /// other cells take turns, and peers that are not live get one at most twice a second.
+    ///
+    /// [`KEEPALIVE_MS`]: report_interval::KEEPALIVE_MS
+    pub fn report_recipients(
+        &self,
+        round: u64,
+        is_changed: bool,
+        now: Time,
+    ) -> impl Iterator<Item = &PeerState> {
         let timeout_ms = self.timeout_ms();
         let rounds = |time_ms: u64| time_ms.div_ceil(report_interval::CELL_REPORT_INTERVAL_MS);
         let report_rounds = rounds(self.report_interval.interval_ms());
+        let cell_rounds = if is_changed { 1 } else { rounds(report_interval::KEEPALIVE_MS) };
         let down_rounds = rounds(self.report_interval.interval_ms().max(DOWN_REPORT_INTERVAL_MS));
         let positions = self.table.iter().zip(0..);
         let due = move |(peer, state): (&PeerId, &PeerState), position: u64| {
             let is_live = state.last_heard.is_some_and(|last_heard| now.since(last_heard) < timeout_ms);
             let gap = match (is_live, self.cell_peers.contains(peer)) {
-                (true, true) => 1,
+                (true, true) => cell_rounds,
                 (false, true) => rounds(UNHEARD_REPORT_INTERVAL_MS),
                 (true, false) => report_rounds,
                 (false, false) => down_rounds,
--- a/src/relay/report_interval.rs
+++ b/src/relay/report_interval.rs
@@ -7,8 +7,10 @@
 reports, of peers and of availability zones.
 
 Instances of one cell (see [`super::cells`]) report to each other every
-[`CELL_REPORT_INTERVAL_MS`], because open flows change within the length of a
-flow. Peers of other cells need liveness, the store revision and targets that do
+[`CELL_REPORT_INTERVAL_MS`] while their flows change, because these change within
+the length of a flow. An unchanged report is only sent every [`KEEPALIVE_MS`]: in a
+large fleet an instance gets a new flow each 100 ms, and most of its reports would
+repeat the one before. Peers of other cells need liveness, the store revision and targets that do
 not answer, which may arrive later.
 
 # Example
@@ -25,6 +27,10 @@
 /// of the users' requests.
 pub const CELL_REPORT_INTERVAL_MS: u64 = 20;
 
+/// Interval of unchanged reports within a cell, in milliseconds. The validity of a report
+/// and the time-out of a peer are at least three times as long.
+pub const KEEPALIVE_MS: u64 = 80;
+
 /// Reports that one instance sends to peers of other cells, per second. At 60 bytes each
 /// they use a fifth of the bandwidth for control messages.
 const REPORTS_PER_S: u64 = 90;
--- a/tests/relay_cells.rs
+++ b/tests/relay_cells.rs
@@ -11,6 +11,7 @@
         Token,
         cells::{CELL_INSTANCES, Cell},
         gossip::{Frame, Load, Message, Report},
+        load,
         peers::Peers,
     },
     time::Time,
@@ -109,7 +110,7 @@
         ended: Vec::new(),
     };
     let frame = Frame { sender: "edge-pa-100".into(), zone: "pa".into(), message: Message::Report(report) };
-    let reports: usize = (0..50).map(|round| peers.report_recipients(round, Time(1)).count()).sum();
+    let reports: usize = (0..50).map(|round| peers.report_recipients(round, true, Time(1)).count()).sum();
     reports * frame.to_bytes().len()
 }
 
@@ -128,9 +129,34 @@
     let rounds = peers.report_interval().interval_ms().div_ceil(20);
     let mut heard = BTreeMap::new();
     for round in 0..rounds {
-        for peer in peers.report_recipients(round, Time(1)) {
+        for peer in peers.report_recipients(round, true, Time(1)) {
             *heard.entry(peer.name.clone()).or_insert(0) += 1;
         }
     }
     assert_eq!(heard.len(), 579);
 }
+
+/// Reports to the peers of the cell in a second, if those of some rounds have changed.
+fn cell_reports(peers: &Peers, changes: impl Fn(u64) -> bool) -> usize {
+    let in_cell = |round| {
+        peers
+            .report_recipients(round, changes(round), Time(1))
+            .filter(|peer| peers.is_cell_peer(&peer.name))
+            .count()
+    };
+    (0..50).map(in_cell).sum()
+}
+
+#[test]
+fn unchanged_reports() {
+    let peers = fleet(300, 0);
+    let cell_peers = peers.cell_peers();
+    assert_eq!(cell_reports(&peers, |_| true), 50 * cell_peers, "each change is sent in the next round");
+    // Ten new flows a second at an instance: each starts and ends.
+    let sent = cell_reports(&peers, |round| round % 5 < 2);
+    assert!(sent <= 30 * cell_peers, "{sent} reports to {cell_peers} peers");
+    // A report and its sender must not expire while nothing changes.
+    let quiet = cell_reports(&peers, |_| false);
+    let valid = 1_000 / load::REPORT_VALID_MS as usize;
+    assert!(quiet >= 3 * valid * cell_peers, "{quiet} reports to {cell_peers} peers");
+}
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -670,13 +670,15 @@
         }
         let now = Time(self.now);
         let report = self.forwarders[index].report(now);
+        let recipients =
+            self.forwarders[index].report_recipients(&report, self.now / REPORT_INTERVAL_MS, now);
         let forwarder = &self.forwarders[index];
         // At intervals a report goes to all instances registered in the store.
         let sends_to_all = forwarder.peers().known_peers().next().is_none()
             || self.now % STORE_INTERVAL_MS < REPORT_INTERVAL_MS;
         let mut is_recipient = vec![sends_to_all; self.forwarders.len()];
-        for peer in forwarder.peers().report_recipients(self.now / REPORT_INTERVAL_MS, now) {
-            is_recipient[usize::from(peer.address.ip().octets()[3])] = true;
+        for address in recipients {
+            is_recipient[usize::from(address.ip().octets()[3])] = true;
         }
         let (name, zone, from) = instance(index);
         for (other, forwarder) in self.forwarders.iter_mut().enumerate() {
