--- a/crates/ragwortlb-standin/src/packets/fixtures.rs
+++ b/crates/ragwortlb-standin/src/packets/fixtures.rs
@@ -14,6 +14,11 @@
     format!("servers/{name}")
 }
 
+/// Key of an instance's entry in the store.
+pub fn instance_key(name: &str) -> String {
+    format!("ragwortlb/instances/{name}")
+}
+
 /// Settings file of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/crates/ragwortlb-standin/src/packets/store.rs
+++ b/crates/ragwortlb-standin/src/packets/store.rs
@@ -1,5 +1,5 @@
 //! Stand-in for the platform's store on the packet path: keys with revisions, range
-//! reads, watches and leases over HTTP/1.1. Leases never expire.
+//! reads, watches and transactions over HTTP/1.1.
 
 use std::{
     collections::BTreeMap,
@@ -37,7 +37,6 @@
     history: Vec<Change>,
     revision: u64,
     compacted_revision: u64,
-    leases: u64,
 }
 
 impl State {
@@ -66,6 +65,7 @@
     changed: watch::Sender<u64>,
     down: AtomicBool,
     calls: AtomicU64,
+    transactions: AtomicU64,
 }
 
 impl Drop for Store {
@@ -87,6 +87,7 @@
             changed: watch::Sender::new(1),
             down: AtomicBool::new(false),
             calls: AtomicU64::new(0),
+            transactions: AtomicU64::new(0),
         });
         let task = tokio::spawn(accept(listener, inner.clone()));
         Ok(Store { inner, task })
@@ -115,6 +116,16 @@
     pub fn calls(&self) -> u64 {
         self.inner.calls.load(Ordering::Relaxed)
     }
+
+    /// Number of transactions since the start.
+    pub fn transactions(&self) -> u64 {
+        self.inner.transactions.load(Ordering::Relaxed)
+    }
+
+    /// Whether a key exists.
+    pub fn contains(&self, key: &str) -> bool {
+        self.inner.lock().items.contains_key(key)
+    }
 }
 
 async fn accept(listener: TcpListener, inner: Arc<Inner>) {
@@ -166,12 +177,9 @@
         }
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
+            (&Method::GET, "/kv-key") => self.key(&parameters(&request)),
             (&Method::GET, "/kv-range") => self.range(&parameters(&request)),
             (&Method::GET, "/kv-watch") => self.watch(&parameters(&request)).await,
-            (&Method::POST, "/kv-lease") => self.lease(),
-            (&Method::POST, path) if path.starts_with("/kv-keep/") => {
-                respond(StatusCode::OK, &json!({"ttlMs": 30_000}))
-            }
             (&Method::POST, "/kv-txn") => self.transact(request).await,
             _ => respond(StatusCode::NOT_FOUND, &json!({})),
         }
@@ -202,10 +210,12 @@
         respond(StatusCode::OK, &json!({"events": events, "storeRevision": state.revision}))
     }
 
-    fn lease(&self) -> Response<Full<Bytes>> {
-        let mut state = self.lock();
-        state.leases += 1;
-        respond(StatusCode::OK, &json!({"lease": state.leases, "ttlMs": 30_000}))
+    fn key(&self, parameters: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
+        let state = self.lock();
+        match parameters.get("key").and_then(|key| state.items.get(key)) {
+            Some(change) => respond(StatusCode::OK, &item(change)),
+            None => respond(StatusCode::NOT_FOUND, &json!({"storeRevision": state.revision})),
+        }
     }
 
     async fn transact(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -213,12 +223,21 @@
             Ok(body) => body.to_bytes(),
             Err(error) => return respond(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()})),
         };
-        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-        let mut revision = 0;
+        self.transactions.fetch_add(1, Ordering::Relaxed);
+        let body: Value = match serde_json::from_slice(&body) {
+            Ok(body) => body,
+            Err(error) => return respond(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()})),
+        };
+        let mut state = self.lock();
         for write in body["writes"].as_array().into_iter().flatten() {
             let value = BASE64_STANDARD.decode(write["value"].as_str().unwrap_or("")).unwrap_or_default();
-            revision = self.lock().write(write["key"].as_str().unwrap_or(""), Some(&value));
+            state.write(write["key"].as_str().unwrap_or(""), Some(&value));
+        }
+        for key in body["remove"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+            state.write(key, None);
         }
+        let revision = state.revision;
+        drop(state);
         self.changed.send_replace(revision);
         respond(StatusCode::OK, &json!({"revision": revision}))
     }
--- a/crates/ragwortlbd/src/relay/register.rs
+++ b/crates/ragwortlbd/src/relay/register.rs
@@ -1,60 +1,75 @@
-//! Registers this instance in the platform's store under a lease, so that new instances
-//! can find it.
+//! Registers this instance in the platform's store, so that new instances can find it.
+//!
+//! An entry stays when its instance ends, as most instances start again under the same name
+//! and address: the next start then needs no write. The store reader of an availability zone
+//! removes the entries of instances of its zone that have not sent a message for long.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use ragwortlb::Error;
-use ragwortlb_platform::store::Client;
+use ragwortlb_platform::store::{Client, MAX_REMOVALS};
 
-use super::shared::{Shared, increment};
+use super::shared::{Shared, increment, now};
 
-/// Time for which the entry outlives the instance. It may be long, as peers detect a
-/// failed instance by its missing load reports.
-const LEASE_TTL: Duration = Duration::from_secs(30);
+/// Time between checks that the entry is there. It may have been removed while the instance
+/// was partitioned.
+const CHECK_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Time between renewals: a third of the lease.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
+/// Delay after the first failed call; it doubles with each further one.
+const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Longest delay after a failed call.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
+
+/// Time without a message after which the entry of an instance is removed, in milliseconds:
+/// longer than an outage of a zone or a replacement of the instance.
+const MAX_SILENCE_MS: u64 = 90_000;
 
 /// Keeps the entry registered until the process ends.
 pub(super) async fn run(shared: Rc<Shared>) {
     let mut client = Client::new(shared.settings.store_address);
-    let lease_ttl = LEASE_TTL.max(Duration::from_millis(shared.settings.min_lease_ms));
-    let mut lease = None;
+    let mut retry_delay = MIN_RETRY_DELAY;
     loop {
-        let delay = match renew_or_register(&shared, &mut client, lease, lease_ttl).await {
-            Ok(active) => {
-                let delay = if active.is_some() { RENEWAL_INTERVAL } else { Duration::ZERO };
-                lease = active;
-                delay
+        let delay = match update_entries(&shared, &mut client).await {
+            Ok(()) => {
+                retry_delay = MIN_RETRY_DELAY;
+                CHECK_INTERVAL
             }
             Err(error) => {
                 increment(&shared.counts.store_failures);
                 log::debug!("registering the instance failed: {error}");
-                RETRY_DELAY
+                let delay = retry_delay;
+                retry_delay = MAX_RETRY_DELAY.min(2 * retry_delay);
+                delay
             }
         };
         tokio::time::sleep(delay).await;
     }
 }
 
-/// Renews the lease, or gets one and registers under it. Returns the lease if it is
-/// active; none means that it has expired.
-async fn renew_or_register(
-    shared: &Shared,
-    client: &mut Client,
-    lease: Option<u64>,
-    ttl: Duration,
-) -> Result<Option<u64>, Error> {
+/// Registers this instance if it is not, and removes entries of instances that have ended.
+async fn update_entries(shared: &Shared, client: &mut Client) -> Result<(), Error> {
     let settings = &shared.settings;
     increment(&shared.counts.store_calls);
-    if let Some(lease) = lease {
-        return Ok(client.renew(lease).await?.then_some(lease));
+    if !client.is_registered(&settings.name, &settings.zone, settings.ip).await? {
+        increment(&shared.counts.store_calls);
+        client.register(&settings.name, &settings.zone, settings.ip).await?;
     }
-    let lease = client.lease(ttl).await?;
-    increment(&shared.counts.store_calls);
-    let written = client.register(&settings.name, &settings.zone, settings.ip, lease).await?;
-    Ok(written.then_some(lease))
+    let ended = ended_instances(shared);
+    if !ended.is_empty() {
+        increment(&shared.counts.store_calls);
+        client.unregister(&ended).await?;
+        log::info!(count = ended.len(); "E746 removed the entries of instances that have ended");
+    }
+    Ok(())
+}
+
+/// Instances of this availability zone whose entries this instance removes.
+fn ended_instances(shared: &Shared) -> Vec<Arc<str>> {
+    let forwarder = shared.forwarder.borrow();
+    if !forwarder.is_reader(now()) {
+        return Vec::new();
+    }
+    let silent = forwarder.peers().silent(&shared.settings.zone, MAX_SILENCE_MS, now());
+    silent.take(MAX_REMOVALS).map(|peer| peer.name.clone()).collect()
 }
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -35,8 +35,9 @@
 /// milliseconds, as its instances have probably ended.
 const ZONE_UNREACHABLE_MS: u64 = 15_000;
 
-/// Time without a message after which a peer is removed, in milliseconds.
-const FORGET_PEER_MS: u64 = 120_000;
+/// Time without a message after which a peer is removed, in milliseconds. Before that, the
+/// store reader of its zone has removed its entry from the store.
+const FORGET_PEER_MS: u64 = 240_000;
 
 /// Interval of reports to a peer that is not live, in milliseconds.
 const DOWN_REPORT_INTERVAL_MS: u64 = 500;
@@ -297,7 +298,15 @@
             .collect()
     }
 
-    /// Removes peers that have not sent a message for two minutes.
+    /// Peers of an availability zone that have not sent a message for some time, also since
+    /// this instance knows of them.
+    pub fn silent(&self, zone: &str, silence_ms: u64, now: Time) -> impl Iterator<Item = &PeerState> {
+        self.table.values().filter(move |state| {
+            &*state.zone == zone && now.since(state.last_heard.unwrap_or(state.discovered)) >= silence_ms
+        })
+    }
+
+    /// Removes peers that have not sent a message for four minutes.
     pub fn forget(&mut self, now: Time) {
         self.table
             .retain(|_, state| now.since(state.last_heard.unwrap_or(state.discovered)) < FORGET_PEER_MS);
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -1,6 +1,9 @@
 //! Messages between instances: encoding, updates of the catalog, store readers, liveness.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
 
 use proptest::prelude::*;
 use ragwortlb::{
@@ -222,3 +225,20 @@
         prop_assert!(Frame::from_bytes(&bytes[..bytes.len() - cut]).is_err());
     }
 }
+
+#[test]
+fn silent_instances() {
+    let mut peers = Peers::default();
+    let address = |host| SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, host), 7_720);
+    peers.record_peer(&"a".into(), &"pa".into(), address(1), Time(1_000));
+    peers.record_peer(&"b".into(), &"pa".into(), address(2), Time(90_000));
+    peers.record_peer(&"c".into(), &"ct".into(), address(3), Time(1_000));
+    peers.discover(&"d".into(), &"pa".into(), address(4), Time(2_000));
+    let silent = |now| -> Vec<Arc<str>> {
+        peers.silent("pa", 90_000, Time(now)).map(|peer| peer.name.clone()).collect()
+    };
+    assert!(silent(90_000).is_empty());
+    let mut names = silent(92_000);
+    names.sort();
+    assert_eq!(names, ["a".into(), "d".into()], "not of another zone, nor one that was heard");
+}
--- a/tests/relay_sprayed.rs
+++ b/tests/relay_sprayed.rs
@@ -40,11 +40,11 @@
     for request in 0..REQUESTS {
         let passed_ms = u64::from(request) / REQUESTS_PER_MS;
         let now = Time(1_000 + passed_ms);
-        let is_first_of_ms = u64::from(request) % REQUESTS_PER_MS == 0;
-        if is_first_of_ms && passed_ms % 10 == 0 {
+        let is_first_of_ms = u64::from(request).is_multiple_of(REQUESTS_PER_MS);
+        if is_first_of_ms && passed_ms.is_multiple_of(10) {
             forwarders.iter_mut().for_each(|forwarder| forwarder.tick(now));
         }
-        if is_first_of_ms && passed_ms % 20 == 0 {
+        if is_first_of_ms && passed_ms.is_multiple_of(20) {
             exchange_reports(&mut forwarders, now);
         }
         let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1_024 + request);
