Fetch from a peer only what an instance lacks, and read the store once at a start

An instance now sends what it knows, and gets the later plan and the records after its revision; a peer of its zone is asked first.

Not measured on its own yet.

--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -2,12 +2,13 @@
 //!
 //! An instance fetches a peer's snapshot when it starts, when it missed an update, when a
 //! peer has a later plan, or when it has not synchronized with the store for too long and a
-//! peer is ahead. A snapshot is a tenth of the size of a full read of the store.
+//! peer is ahead. It sends the state that it has, and gets what it lacks: at its start a
+//! complete snapshot, a tenth of the size of a full read of the store, later a few records.
 
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
-use ragwortlb::relay::gossip::{MAX_SNAPSHOT_BYTES, Snapshot};
+use ragwortlb::relay::gossip::{KnownState, MAX_KNOWN_STATE_BYTES, MAX_SNAPSHOT_BYTES, Snapshot};
 use rand::seq::IteratorRandom;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -69,23 +70,27 @@
         if Rc::strong_count(&transfers) > MAX_TRANSFERS {
             continue;
         }
-        let bytes = shared.forwarder.borrow().snapshot().to_bytes();
         let transfer = transfers.clone();
+        let shared = shared.clone();
         tokio::task::spawn_local(async move {
-            send_snapshot(stream, bytes).await;
+            match timeout(TRANSFER_TIMEOUT, answer(&shared, stream)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log::debug!("sending a snapshot to a peer failed: {error:#}"),
+                Err(_) => log::debug!("sending a snapshot to a peer timed out"),
+            }
             drop(transfer);
         });
     }
 }
 
-async fn send_snapshot(mut stream: TcpStream, bytes: Vec<u8>) {
-    let sent = timeout(TRANSFER_TIMEOUT, async {
-        stream.write_all(&bytes).await?;
-        stream.shutdown().await
-    });
-    if !matches!(sent.await, Ok(Ok(()))) {
-        log::debug!("sending a snapshot to a peer failed or timed out");
-    }
+/// Reads a peer's request and sends it a snapshot.
+async fn answer(shared: &Shared, mut stream: TcpStream) -> Result<()> {
+    let mut request = Vec::new();
+    (&mut stream).take(MAX_KNOWN_STATE_BYTES as u64).read_to_end(&mut request).await?;
+    let known = KnownState::from_bytes(&request)?;
+    let bytes = shared.forwarder.borrow().snapshot(&known).to_bytes();
+    stream.write_all(&bytes).await?;
+    Ok(stream.shutdown().await?)
 }
 
 /// Fetches snapshots from peers that are ahead, until the process ends.
@@ -139,18 +144,21 @@
 fn ahead(shared: &Shared) -> Option<Ipv4Addr> {
     let forwarder = shared.forwarder.borrow();
     let catalog = forwarder.catalog();
-    let peers = forwarder.peers().ahead(catalog.revision(), catalog.plan().version, now());
+    let zone = &shared.settings.zone;
+    let peers = forwarder.peers().ahead(zone, catalog.revision(), catalog.plan().version, now());
     let index = rand::random_range(0..peers.len().max(1));
     peers.get(index).map(|peer| *peer.address.ip())
 }
 
 async fn fetch(shared: &Shared, peer: Ipv4Addr) {
-    match read(peer, shared.settings.snapshot_port).await {
-        // A peer that has just started has no plan yet.
-        Ok(snapshot) if snapshot.plan.version == 0 => {}
+    let known = shared.forwarder.borrow().known_state();
+    match read(peer, shared.settings.snapshot_port, &known).await {
+        // A peer that has just started has no state yet.
+        Ok(snapshot) if snapshot.revision == 0 || known.plan_version.max(snapshot.plan.version) == 0 => {}
         Ok(snapshot) => {
             let (plan, revision) = (snapshot.plan.version, snapshot.revision);
-            log::info!(peer:%, plan, revision; "E752 applied a peer's snapshot");
+            let records = snapshot.records.len();
+            log::info!(peer:%, plan, revision, records; "E752 applied a peer's snapshot");
             shared.forwarder.borrow_mut().apply_snapshot(snapshot, now());
             shared.state_changed.notify_one();
         }
@@ -161,13 +169,16 @@
     }
 }
 
-async fn read(peer: Ipv4Addr, port: u16) -> Result<Snapshot> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect((peer, port)))
+async fn read(peer: Ipv4Addr, port: u16, known: &KnownState) -> Result<Snapshot> {
+    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect((peer, port)))
         .await
         .wrap_err("connecting timed out")??;
     let mut bytes = Vec::new();
-    timeout(TRANSFER_TIMEOUT, stream.take(MAX_SNAPSHOT_BYTES as u64).read_to_end(&mut bytes))
-        .await
-        .wrap_err("receiving the snapshot timed out")??;
+    let exchange = async {
+        stream.write_all(&known.to_bytes()).await?;
+        stream.shutdown().await?;
+        stream.take(MAX_SNAPSHOT_BYTES as u64).read_to_end(&mut bytes).await
+    };
+    timeout(TRANSFER_TIMEOUT, exchange).await.wrap_err("receiving the snapshot timed out")??;
     Ok(Snapshot::from_bytes(&bytes)?)
 }
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -15,7 +15,7 @@
     },
     time::Time,
 };
-use ragwortlb_platform::store::{Client, Event, Reading, RevisedEvent, WatchResult};
+use ragwortlb_platform::store::{Client, Event, Freshness, Reading, RevisedEvent, WatchResult};
 
 use super::{
     news::send_update,
@@ -30,7 +30,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(900);
 
 /// Bandwidth from which on an instance starts with a full read instead of a snapshot, in
-/// megabits a second. A full read with a large configuration is half a megabyte.
+/// megabits a second. A full read with a large configuration is half a megabyte. On narrower
+/// links it may also be some seconds old, as only large fleets have them, in which the first
+/// update or a peer's snapshot tells the rest.
 const FULL_READ_LINK_MBPS: u64 = 100;
 
 /// Time for which a starting instance on a narrower link waits for a peer's snapshot, in
@@ -57,6 +59,8 @@
     recovered_at: Time,
     /// Whether the catalog holds a full read or a snapshot, so that a watch is enough.
     has_full_read: bool,
+    /// Whether the next full read may be some seconds old.
+    may_read_stale: bool,
 }
 
 impl StoreState {
@@ -84,7 +88,11 @@
 /// Reads and watches the store until the process ends.
 pub(super) async fn run(shared: Rc<Shared>) {
     let mut client = Client::new(shared.settings.store_address);
-    let mut store = StoreState { has_full_read: await_snapshot(&shared).await, ..StoreState::default() };
+    let mut store = StoreState {
+        has_full_read: await_snapshot(&shared).await,
+        may_read_stale: shared.settings.link_mbps < FULL_READ_LINK_MBPS,
+        ..StoreState::default()
+    };
     loop {
         let started = now();
         if !is_due(&shared, &store, started) {
@@ -113,9 +121,11 @@
 }
 
 /// On a narrow link, waits for a peer's snapshot. Returns whether one arrived, so that
-/// only later changes have to be read from the store.
+/// only later changes have to be read from the store. The seeds do not wait: after an outage
+/// of the whole fleet all others ask them for a snapshot.
 async fn await_snapshot(shared: &Shared) -> bool {
-    if shared.settings.link_mbps >= FULL_READ_LINK_MBPS {
+    let settings = &shared.settings;
+    if settings.link_mbps >= FULL_READ_LINK_MBPS || settings.seeds.contains(&settings.ip) {
         return false;
     }
     let started = now();
@@ -140,9 +150,11 @@
 async fn call_store(shared: &Shared, client: &mut Client, store: &mut StoreState) -> Result<()> {
     let revision = shared.forwarder.borrow().catalog().revision();
     if !store.has_full_read {
-        let reading = client.read().await?;
+        let freshness = if store.may_read_stale { Freshness::Stale } else { Freshness::Current };
+        let reading = client.read(freshness).await?;
         apply_full_read(shared, store, reading);
         store.has_full_read = true;
+        store.may_read_stale = false;
         return Ok(());
     }
     match client.watch(revision, WATCH_WAIT).await? {
@@ -174,6 +186,7 @@
     log::info!(targets = present.len(), revision = reading.revision; "E745 read all keys of the store");
     let is_reader = shared.forwarder.borrow().is_reader(now);
     apply_changes(shared, store, reading, unlisted, is_reader);
+    shared.forwarder.borrow_mut().mark_complete();
 }
 
 /// Applies the result of a watch and always sends it to peers. If this instance is not
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -14,7 +14,11 @@
 [`REREGISTRATION_MS`].
 */
 
-use std::{collections::HashMap, net::SocketAddrV4, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddrV4,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +109,8 @@
     services: Vec<Arc<str>>,
     service_targets: Vec<Vec<usize>>,
     list_version: u64,
+    /// Revision from which on all records are here; targets that ended before may not be.
+    complete_since: u64,
     routes: HashMap<SocketAddrV4, RouteEntry>,
 }
 
@@ -119,6 +125,12 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Records that the catalog was just filled with a list of all targets: it has no record
+    /// of those that ended before, if it did not know them.
+    pub fn mark_complete(&mut self) {
+        self.complete_since = self.revision;
+    }
+
     /// Plan in effect.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -181,6 +193,18 @@
         self.targets.iter().flatten().map(|target| &target.record)
     }
 
+    /// Records that a peer whose catalog is complete up to a revision may lack. A missing
+    /// target is gone later at the same revision, so all of these are included.
+    pub fn records_after(&self, revision: u64) -> impl Iterator<Item = &Record> {
+        self.records().filter(move |record| record.revision > revision || record.state >= State::Missing)
+    }
+
+    /// Whether [`records_after`](Self::records_after) a revision are all that changed since:
+    /// targets that ended before this catalog was filled, or too long ago, are not in it.
+    pub fn is_complete_after(&self, revision: u64) -> bool {
+        revision > 0 && revision >= self.complete_since
+    }
+
     /// Adopts a plan if it is later than the one in effect; returns whether it was.
     pub fn adopt(&mut self, plan: Plan) -> bool {
         if plan.version <= self.plan.version {
@@ -279,6 +303,7 @@
     /// They are gone, or missing if the store was unavailable.
     pub fn unlisted(&self, listed: &[Arc<str>], revision: u64, store_unstable: bool) -> Vec<Record> {
         let state = if store_unstable { State::Missing } else { State::Gone };
+        let listed: HashSet<&Arc<str>> = listed.iter().collect();
         self.records()
             .filter(|record| record.state < state && record.revision < revision)
             .filter(|record| !listed.contains(&record.entry.name))
@@ -315,6 +340,7 @@
             if target.record.state != State::Gone || now.since(target.since) <= max_flow_lifetime_ms {
                 continue;
             }
+            self.complete_since = self.complete_since.max(target.record.revision);
             if self.by_token.get(&target.token) == Some(&index) {
                 self.by_token.remove(&target.token);
             }
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -7,7 +7,7 @@
     relay::{
         Plan,
         catalog::{Change, Record},
-        gossip::{self, Load, Report, Snapshot, Update},
+        gossip::{self, KnownState, Load, Report, Snapshot, Update},
         load,
         peers::Peers,
     },
@@ -85,29 +85,55 @@
         self.is_behind
     }
 
-    /// Complete state of this instance.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            revision: self.catalog.revision(),
-            plan: self.catalog.plan().clone(),
-            records: self.catalog.records().cloned().collect(),
-            members: self.peers.members().take(gossip::MAX_SNAPSHOT_MEMBERS).collect(),
-        }
+    /// What this instance asks a peer's state for.
+    pub fn known_state(&self) -> KnownState {
+        KnownState { revision: self.catalog.revision(), plan_version: self.catalog.plan().version }
+    }
+
+    /// State of this instance without what a peer has already: complete for a peer that has
+    /// just started, otherwise the later plan and the records that have changed.
+    pub fn snapshot(&self, known: &KnownState) -> Snapshot {
+        let plan = self.catalog.plan();
+        let revision = self.catalog.revision();
+        let is_complete = !self.catalog.is_complete_after(known.revision);
+        let (records, members) = match is_complete {
+            false => (self.catalog.records_after(known.revision).cloned().collect(), Vec::new()),
+            true => (
+                self.catalog.records().cloned().collect(),
+                self.peers.members().take(gossip::MAX_SNAPSHOT_MEMBERS).collect(),
+            ),
+        };
+        let is_later = plan.version > known.plan_version;
+        let plan = if is_later { plan.clone() } else { Plan::default() };
+        Snapshot { revision, plan, is_complete, records, members }
     }
 
-    /// Applies the complete state of a peer.
+    /// Applies the state of a peer. Targets that a complete snapshot does not list are gone.
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Time) {
         self.adopt(snapshot.plan);
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
         }
-        for record in snapshot.records {
+        let mut records = snapshot.records;
+        if snapshot.is_complete {
+            let listed: Vec<_> = records.iter().map(|record| record.entry.name.clone()).collect();
+            records.extend(self.catalog.unlisted(&listed, snapshot.revision, false));
+        }
+        for record in records {
             self.apply(record, now);
         }
         self.catalog.advance(snapshot.revision);
+        if snapshot.is_complete {
+            self.catalog.mark_complete();
+        }
         self.is_behind = false;
     }
 
+    /// Records that the last reading listed all targets.
+    pub fn mark_complete(&mut self) {
+        self.catalog.mark_complete();
+    }
+
     /// Marks the catalog complete up to a revision, as the store or its reader has just
     /// confirmed.
     pub fn advance(&mut self, revision: u64, now: Time) {
@@ -208,7 +234,7 @@
     /// Addresses of the peers that get a report in this round (see
     /// [`Peers::report_recipients`]).
     pub fn report_recipients(&mut self, report: &Report, round: u64, now: Time) -> Vec<SocketAddrV4> {
-        // Each heartbeat of a target advances the revision, and no flow is placed by it.
+        // The next unchanged report is early enough for the revision.
         let content = Report { revision: 0, ..report.clone() };
         let is_changed = content != self.last_report;
         self.last_report = content;
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -7,7 +7,8 @@
 registrations.
 
 Each message fits into one datagram, may be lost, and is validated when it is
-decoded. An instance that missed updates fetches a [`Snapshot`] over TCP.
+decoded. An instance that missed updates fetches a [`Snapshot`] over TCP and sends its
+[`KnownState`] first, so that it gets no more than it lacks.
 
 # Example
 
@@ -29,7 +30,7 @@
 use crate::Error;
 
 /// Version of the encoding.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Longest datagram, in bytes, to fit into one packet on common links.
 pub const MAX_FRAME_BYTES: usize = 1_400;
@@ -161,18 +162,35 @@
     pub message: Message,
 }
 
-/// Complete state of an instance: targets, routes and members.
+/// Request for a snapshot: the state that the sender has already.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct KnownState {
+    /// Store revision up to which its catalog is complete; zero if it has none.
+    pub revision: u64,
+    /// Version of its plan; zero if it has none.
+    pub plan_version: u64,
+}
+
+/// Longest request for a snapshot, in bytes.
+pub const MAX_KNOWN_STATE_BYTES: usize = 32;
+
+/// State of an instance: targets, routes and members, less what the receiver has already.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Snapshot {
-    /// Store revision up to which it is complete.
+    /// Store revision up to which the receiver is complete with it; zero if the sender has
+    /// no state.
     pub revision: u64,
-    /// Plan in effect.
+    /// Plan in effect; version zero if the receiver has it.
     pub plan: Plan,
-    /// Records of all targets.
+    /// Whether it lists all targets, rather than those that have changed.
+    pub is_complete: bool,
+    /// Records of the targets.
     #[serde(rename = "rows")]
     pub records: Vec<Record>,
-    /// Instances known to the sender, at most [`MAX_SNAPSHOT_MEMBERS`].
+    /// Instances known to the sender, at most [`MAX_SNAPSHOT_MEMBERS`], for a receiver that
+    /// has just started.
     pub members: Vec<Member>,
 }
 
@@ -192,6 +210,22 @@
     }
 }
 
+impl KnownState {
+    /// Encodes the request.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Decodes a request.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a request of this version.
+    pub fn from_bytes(bytes: &[u8]) -> Result<KnownState, Error> {
+        decode("read a request for a snapshot", bytes)
+    }
+}
+
 impl Snapshot {
     /// Encodes the snapshot.
     pub fn to_bytes(&self) -> Vec<u8> {
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -263,13 +263,17 @@
     }
 
     /// Live peers with newer state than this instance: those with a later plan if there are
-    /// any, otherwise those with a later revision.
-    pub fn ahead(&self, revision: u64, plan_version: u64, now: Time) -> Vec<&PeerState> {
-        let with_plan: Vec<_> = self.live(now).filter(|state| state.plan_version > plan_version).collect();
-        if !with_plan.is_empty() {
-            return with_plan;
+    /// any, otherwise those with a later revision. If any of them are in the given zone, only
+    /// these, as traffic between zones has a cost.
+    pub fn ahead(&self, zone: &str, revision: u64, plan_version: u64, now: Time) -> Vec<&PeerState> {
+        let mut ahead: Vec<_> = self.live(now).filter(|state| state.plan_version > plan_version).collect();
+        if ahead.is_empty() {
+            ahead.extend(self.live(now).filter(|state| state.revision > revision));
         }
-        self.live(now).filter(|state| state.revision > revision).collect()
+        if ahead.iter().any(|state| &*state.zone == zone) {
+            ahead.retain(|state| &*state.zone == zone);
+        }
+        ahead
     }
 
     /// Whether a live peer has a later plan.
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -172,7 +172,7 @@
     random: Pcg64Mcg,
 }
 
-fn entry(index: usize, slots: u32) -> Entry {
+pub fn entry(index: usize, slots: u32) -> Entry {
     Entry {
         name: format!("i-{index:08x}").into(),
         number: index as u64 + 1,
