--- a/crates/ragwortlbd/src/relay.rs
+++ b/crates/ragwortlbd/src/relay.rs
@@ -73,8 +73,6 @@
     let shared = Shared::new(settings).await?;
     log::info!(instance:% = shared.settings.name, zone:% = shared.settings.zone; "E700 instance started");
     tokio::task::spawn_local(packets::run(shared.clone()));
-    tokio::task::spawn_local(news::receive(shared.clone()));
-    tokio::task::spawn_local(news::send(shared.clone()));
     tokio::task::spawn_local(follow::run(shared.clone()));
     tokio::task::spawn_local(fetch::serve(shared.clone()));
     tokio::task::spawn_local(fetch::catch_up(shared.clone()));
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -5,9 +5,8 @@
 //! report replaces it, and an instance that misses an update fetches a snapshot.
 
 use std::{
+    io::ErrorKind,
     net::{SocketAddr, SocketAddrV4},
-    rc::Rc,
-    time::Duration,
 };
 
 use ragwortlb::{
@@ -21,8 +20,8 @@
 
 use super::shared::{Shared, increment, now};
 
-/// Time between rounds of load reports.
-const ROUND_INTERVAL: Duration = Duration::from_millis(report_interval::CELL_REPORT_INTERVAL_MS);
+/// Datagrams that are read before packets are.
+const MAX_READ_BATCH: usize = 128;
 
 /// Rounds between member lists; each goes to one random peer.
 const MEMBER_LIST_ROUNDS: u64 = 25;
@@ -34,16 +33,21 @@
 /// buffer, sent before the pause ended, in milliseconds.
 const PAUSE_BACKLOG_MS: u64 = 60;
 
-/// Receives gossip until the process ends.
-pub(super) async fn receive(shared: Rc<Shared>) {
-    let mut buffer = vec![0; gossip::MAX_FRAME_BYTES + 1];
-    loop {
-        match shared.gossip.recv_from(&mut buffer).await {
-            Ok((length, SocketAddr::V4(from))) => accept(&shared, &buffer[..length], from),
+/// Applies the gossip that has arrived. Reports are used when a flow is placed, so nothing is
+/// gained by reading each one at once, and each wake-up of the process has a cost.
+pub(super) fn receive(shared: &Shared, now: Time) {
+    if shared.gossip_read_at.replace(now) == now {
+        return;
+    }
+    let mut buffer = [0; gossip::MAX_FRAME_BYTES + 1];
+    for _ in 0..MAX_READ_BATCH {
+        match shared.gossip.recv_from(&mut buffer) {
+            Ok((length, SocketAddr::V4(from))) => accept(shared, &buffer[..length], from),
             Ok(_) => increment(&shared.counts.gossip_rejected),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
             Err(error) => {
                 log::warn!(error:%; "E730 cannot receive gossip from peers; retrying");
-                tokio::time::sleep(ROUND_INTERVAL).await;
+                return;
             }
         }
     }
@@ -114,20 +118,26 @@
     }
 }
 
-/// Sends load reports and member lists until the process ends.
-pub(super) async fn send(shared: Rc<Shared>) {
-    let mut interval = tokio::time::interval(ROUND_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut round = 0;
-    loop {
-        interval.tick().await;
-        round += 1;
-        let now = now();
-        report(&shared, now, round);
-        if round.is_multiple_of(member_list_rounds(&shared, now))
-            && let Some(peer) = random_peer(&shared, now)
+/// Rounds of load reports and member lists.
+#[derive(Debug, Default)]
+pub(super) struct Rounds {
+    round: u64,
+    sent_at: Time,
+}
+
+impl Rounds {
+    /// Sends a load report, and a member list from time to time, if a round is due.
+    pub fn send(&mut self, shared: &Shared, now: Time) {
+        if now.since(self.sent_at) < report_interval::CELL_REPORT_INTERVAL_MS {
+            return;
+        }
+        self.sent_at = now;
+        self.round += 1;
+        report(shared, now, self.round);
+        if self.round.is_multiple_of(member_list_rounds(shared, now))
+            && let Some(peer) = random_peer(shared, now)
         {
-            send_members(&shared, peer, now);
+            send_members(shared, peer, now);
         }
     }
 }
@@ -188,7 +198,7 @@
 fn send_datagram(shared: &Shared, bytes: &[u8], to: SocketAddrV4) {
     // Not repeated: the next report follows soon, and a missed update makes the peer fetch a
     // snapshot.
-    match shared.gossip.try_send_to(bytes, to.into()) {
+    match shared.gossip.send_to(bytes, to) {
         Ok(_) => increment(&shared.counts.gossip_sent),
         Err(_) => increment(&shared.counts.unsent),
     }
--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -12,22 +12,28 @@
     relay::{
         Kind, Packet,
         forwarder::{Deferral, DropReason, Refusal, Verdict},
+        report_interval,
     },
     time::Time,
 };
 use ragwortlb_platform::packet;
+use tokio::time::Instant;
 
 use super::{
     decisions,
+    news::{self, Rounds},
     shared::{Shared, increment, now},
 };
 
 /// Packets that are read before other tasks get to run.
 const MAX_READ_BATCH: usize = 32;
 
-/// Time between ticks of the forwarder.
+/// Time between ticks of the forwarder while packets are deferred or queued.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between ticks otherwise: that of load reports.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(report_interval::CELL_REPORT_INTERVAL_MS);
+
 /// Deferred and queued packets at most: what arrives within a client's first retransmission time-out.
 const MAX_DEFERRED: usize = 2_048;
 
@@ -97,6 +103,9 @@
         // The client no longer waits for the answers to the flow's requests.
         deferred.retain(|item| !item.is_same_flow(&packet));
     }
+    if matches!(packet.kind, Kind::Open { .. } | Kind::Data { request: true, .. }) {
+        news::receive(shared, now);
+    }
     let verdict = shared.forwarder.borrow_mut().receive(now, &packet);
     let limit_ms = match verdict {
         Verdict::Queue => u64::MAX,
@@ -109,6 +118,7 @@
     }
     increment(&shared.counts.deferred);
     deferred.push(DeferredPacket { packet, bytes: bytes.to_vec(), arrived: now });
+    shared.packet_deferred.notify_one();
 }
 
 /// Replaces a deferred opening packet by its retransmission, and ignores that of a deferred
@@ -180,13 +190,24 @@
     }
 }
 
+/// Runs the periodic work until the process ends.
 async fn tick(shared: Rc<Shared>, deferred: Rc<RefCell<Vec<DeferredPacket>>>) {
-    let mut interval = tokio::time::interval(TICK_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut rounds = Rounds::default();
     let mut out = Vec::with_capacity(packet::MAX_BYTES);
+    let mut ticked_at = Instant::now();
     loop {
+        let is_idle = deferred.borrow().is_empty();
+        let next = ticked_at + if is_idle { IDLE_TICK_INTERVAL } else { TICK_INTERVAL };
         tokio::select! {
-            _ = interval.tick() => shared.forwarder.borrow_mut().tick(now()),
+            () = tokio::time::sleep_until(next) => {
+                ticked_at = Instant::now();
+                let now = now();
+                news::receive(&shared, now);
+                shared.forwarder.borrow_mut().tick(now);
+                rounds.send(&shared, now);
+            }
+            // The next tick is earlier now.
+            () = shared.packet_deferred.notified(), if is_idle => continue,
             () = shared.state_changed.notified() => {}
         }
         shared.log_notices();
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddrV4,
+    net::{SocketAddrV4, UdpSocket as StdUdpSocket},
     rc::Rc,
 };
 
@@ -90,7 +90,11 @@
     pub settings: Settings,
     pub forwarder: RefCell<Forwarder>,
     pub packets: UdpSocket,
-    pub gossip: UdpSocket,
+    /// Not registered with the runtime: it is read at ticks and before placements, so that
+    /// reports do not wake the process.
+    pub gossip: StdUdpSocket,
+    /// When the gossip was last read.
+    pub gossip_read_at: Cell<Time>,
     pub counts: Counters,
     pub placements: LineLimiter,
     pub refusals: LineLimiter,
@@ -100,12 +104,14 @@
     /// Notified when the catalog has changed, so that deferred and queued packets are decided
     /// again.
     pub state_changed: Notify,
+    /// Notified when a packet was deferred or queued.
+    pub packet_deferred: Notify,
 }
 
 impl Shared {
     pub async fn new(settings: Settings) -> Result<Rc<Shared>> {
         let packets = bind(settings.packet_address).await?;
-        let gossip = bind(SocketAddrV4::new(settings.ip, settings.gossip_port)).await?;
+        let gossip = bind_unregistered(SocketAddrV4::new(settings.ip, settings.gossip_port))?;
         let forwarder = Forwarder::new(forwarder::Settings {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -120,6 +126,7 @@
             forwarder,
             packets,
             gossip,
+            gossip_read_at: Cell::new(Time(0)),
             counts,
             placements: LineLimiter::default(),
             refusals: LineLimiter::default(),
@@ -127,6 +134,7 @@
             unanswered: LineLimiter::default(),
             peers: LineLimiter::default(),
             state_changed: Notify::new(),
+            packet_deferred: Notify::new(),
         }))
     }
 
@@ -164,10 +172,22 @@
 
 async fn bind(address: SocketAddrV4) -> Result<UdpSocket> {
     let socket = UdpSocket::bind(address).await.wrap_err_with(|| format!("cannot bind {address}"))?;
-    if let Err(error) = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+    enlarge_buffer(SockRef::from(&socket), address);
+    Ok(socket)
+}
+
+/// Binds a socket that the caller reads itself, without waiting for data.
+fn bind_unregistered(address: SocketAddrV4) -> Result<StdUdpSocket> {
+    let socket = StdUdpSocket::bind(address).wrap_err_with(|| format!("cannot bind {address}"))?;
+    socket.set_nonblocking(true).wrap_err("cannot make a socket non-blocking")?;
+    enlarge_buffer(SockRef::from(&socket), address);
+    Ok(socket)
+}
+
+fn enlarge_buffer(socket: SockRef<'_>, address: SocketAddrV4) {
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
         log::debug!("cannot enlarge the receive buffer of {address}: {error}");
     }
-    Ok(socket)
 }
 
 /// Current time of the boot clock, which goes on while the machine is suspended, so that
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -180,7 +180,8 @@
             let Some(target) = self.catalog.find(load.token) else {
                 continue;
             };
-            loads.push(load::Report { target, running: load.running, idle: load.idle });
+            let [running, idle] = [load.running, load.idle].map(|flows| flows.min(load::MAX_REPORTED_FLOWS));
+            loads.push(load::Report { target, running, idle });
             self.outliers.record_peer(target, load.failures, now);
             if load.is_responsive {
                 self.outliers.record_peer_answer(target, now);
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -40,6 +40,9 @@
 /// Samples that are required before a mean is used.
 const MIN_SAMPLES: u32 = 5;
 
+/// Most flows that a peer may report for one target, so that sums do not overflow.
+pub const MAX_REPORTED_FLOWS: u32 = 1 << 20;
+
 /// Identifies a peer by the hash of its name.
 pub type PeerId = u64;
 
@@ -68,6 +71,17 @@
     reports: Vec<Report>,
 }
 
+impl PeerReport {
+    /// Takes the flows of this report out of the counts that they were added to.
+    fn subtract_from(&self, counts: &mut [Count]) {
+        for report in &self.reports {
+            let count = &mut counts[report.target];
+            count.peers_running -= report.running;
+            count.peers_flows -= report.flows();
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ServiceTime {
     mean_ms: f32,
@@ -207,16 +221,20 @@
         if let Some(max_target) = reports.iter().map(|report| report.target).max() {
             self.resize(self.counts.len().max(max_target + 1));
         }
-        self.peer_reports.insert(peer, PeerReport { valid_until, reports });
-        self.sum_reports();
+        for report in &reports {
+            let count = &mut self.counts[report.target];
+            count.peers_running += report.running;
+            count.peers_flows += report.flows();
+        }
+        if let Some(former) = self.peer_reports.insert(peer, PeerReport { valid_until, reports }) {
+            former.subtract_from(&mut self.counts);
+        }
     }
 
     /// Removes expired reports.
     pub fn expire(&mut self, now: Time) {
-        let before = self.peer_reports.len();
-        self.peer_reports.retain(|_, peer_report| peer_report.valid_until > now);
-        if self.peer_reports.len() != before {
-            self.sum_reports();
+        for (_, expired) in self.peer_reports.extract_if(|_, report| report.valid_until <= now) {
+            expired.subtract_from(&mut self.counts);
         }
     }
 
@@ -225,17 +243,6 @@
         self.peer_reports.len()
     }
 
-    fn sum_reports(&mut self) {
-        for count in &mut self.counts {
-            (count.peers_running, count.peers_flows) = (0, 0);
-        }
-        for report in self.peer_reports.values().flat_map(|peer_report| &peer_report.reports) {
-            let count = &mut self.counts[report.target];
-            count.peers_running += report.running;
-            count.peers_flows += report.flows();
-        }
-    }
-
     /// Adds the service time of a request that arrived while its target had a free slot.
     pub fn sample(&mut self, target: usize, service: usize, time_ms: u64, now: Time) {
         self.resize(self.counts.len().max(target + 1));
