Bound a batch of log lines by the length of the queue

Cause: the writer took lines into one batch for as long as they arrived, over 8,000 in a failed run, so that too few were dropped.

--- a/crates/ragwortlbd/src/logs.rs
+++ b/crates/ragwortlbd/src/logs.rs
@@ -97,7 +97,8 @@
         }
         let mut bytes = Vec::new();
         let mut flush_requests = Vec::new();
-        for message in std::iter::once(first).chain(receiver.try_iter()) {
+        // Lines may arrive faster than they are taken out, so the batch has a limit too.
+        for message in std::iter::once(first).chain(receiver.try_iter().take(MAX_QUEUED_LINES)) {
             match message {
                 Message::Line(line) => bytes.extend_from_slice(&line),
                 Message::Flush(done) => flush_requests.push(done),
