--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -29,7 +29,7 @@
 /// in milliseconds. The operators state about two seconds.
 pub const REREGISTRATION_MS: u64 = 2_300;
 
-/// Largest number of slots of a new target; an entry with more is ignored.
+/// Largest number of slots of a target; an entry with more is ignored.
 const MAX_SLOTS: u32 = 4_096;
 
 /// State of a target, in the order in which it may change at one revision.
@@ -231,7 +231,12 @@
     }
 
     /// Applies a record if it is later than the known one of its target.
+    ///
+    /// An entry without a valid number of slots is ignored, and the last valid one stays.
     pub fn apply(&mut self, record: Record, now: Time) -> Change {
+        if !(1..=MAX_SLOTS).contains(&record.entry.slots) {
+            return Change::None;
+        }
         let known = self.by_name.get(&record.entry.name).copied();
         let Some(index) = known else {
             return self.insert(record, now);
@@ -256,7 +261,7 @@
     }
 
     fn insert(&mut self, record: Record, now: Time) -> Change {
-        if record.state == State::Gone || record.entry.slots == 0 || record.entry.slots > MAX_SLOTS {
+        if record.state == State::Gone {
             return Change::None;
         }
         let token = Token::of(&record.entry.name);
--- a/src/retry/record.rs
+++ b/src/retry/record.rs
@@ -189,7 +189,8 @@
 /// Cached answers of requests that this instance ran.
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
-    answers: HashMap<RequestId, Arc<[u8]>>,
+    answers: HashMap<RequestId, (Time, Arc<[u8]>)>,
+    /// In the order of time; entries of answers that were replaced later are outdated.
     order: VecDeque<(Time, RequestId)>,
     bytes: usize,
 }
@@ -198,14 +199,16 @@
     /// Caches an answer; evicts the oldest ones beyond the limits.
     pub fn keep(&mut self, id: RequestId, answer: Arc<[u8]>, now: Time) {
         self.bytes += answer.len();
-        self.answers.insert(id, answer);
+        if let Some((_, former)) = self.answers.insert(id, (now, answer)) {
+            self.bytes -= former.len();
+        }
         self.order.push_back((now, id));
         self.expire(now);
     }
 
     /// Answer of a request, if it is still cached.
     pub fn get(&self, id: RequestId) -> Option<&Arc<[u8]>> {
-        self.answers.get(&id)
+        self.answers.get(&id).map(|(_, answer)| answer)
     }
 
     /// Evicts answers past their retention time or beyond the memory limit.
@@ -215,7 +218,8 @@
                 return;
             }
             self.order.pop_front();
-            if let Some(answer) = self.answers.remove(&id) {
+            let is_current = self.answers.get(&id).is_some_and(|(kept_at, _)| *kept_at == cached_at);
+            if is_current && let Some((_, answer)) = self.answers.remove(&id) {
                 self.bytes -= answer.len();
             }
         }
--- a/tests/relay_catalog.rs
+++ b/tests/relay_catalog.rs
@@ -32,6 +32,19 @@
     catalog.records().find(|record| &*record.entry.name == name).map(|record| record.state)
 }
 
+#[test]
+fn invalid_slots() {
+    let mut catalog = Catalog::default();
+    catalog.apply(record("a-1", 5, State::Ready), Time(0));
+    for slots in [0, u32::MAX] {
+        let mut later = record("a-1", 6, State::Ready);
+        later.entry.slots = slots;
+        assert_eq!(catalog.apply(later, Time(1)), Change::None);
+    }
+    let slots: Vec<_> = catalog.records().map(|record| record.entry.slots).collect();
+    assert_eq!(slots, [3], "the last valid entry stays");
+}
+
 #[test]
 fn older_record() {
     let mut catalog = Catalog::default();
