--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -185,8 +185,9 @@
     );
     log::info!(targets = present.len(), revision = reading.revision; "E745 read all keys of the store");
     let is_reader = shared.forwarder.borrow().is_reader(now);
+    let before = shared.forwarder.borrow().catalog().revision();
     apply_changes(shared, store, reading, unlisted, is_reader);
-    shared.forwarder.borrow_mut().mark_complete();
+    shared.forwarder.borrow_mut().record_skipped(before);
 }
 
 /// Applies the result of a watch and always sends it to peers. If this instance is not
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -17,6 +17,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddrV4,
+    ops::Range,
     sync::Arc,
 };
 
@@ -32,6 +33,9 @@
 /// Largest number of slots of a target; an entry with more is ignored.
 const MAX_SLOTS: u32 = 4_096;
 
+/// Ranges of skipped revisions that are kept; older ones are merged.
+const MAX_SKIPPED: usize = 8;
+
 /// State of a target, in the order in which it may change at one revision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
@@ -109,8 +113,11 @@
     services: Vec<Arc<str>>,
     service_targets: Vec<Vec<usize>>,
     list_version: u64,
-    /// Revision from which on all records are here; targets that ended before may not be.
-    complete_since: u64,
+    /// Greatest revision of a target that was removed from the catalog.
+    forgotten_revision: u64,
+    /// Revisions that a list of all targets has skipped: there is no record of targets that
+    /// were added and ended within one of them.
+    skipped: Vec<Range<u64>>,
     routes: HashMap<SocketAddrV4, RouteEntry>,
 }
 
@@ -125,10 +132,17 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Records that the catalog was just filled with a list of all targets: it has no record
-    /// of those that ended before, if it did not know them.
-    pub fn mark_complete(&mut self) {
-        self.complete_since = self.revision;
+    /// Records that a list of all targets was applied to a catalog that was complete up to
+    /// the revision `before`, rather than each change since.
+    pub fn record_skipped(&mut self, before: u64) {
+        if before >= self.revision {
+            return;
+        }
+        self.skipped.push(before + 1..self.revision);
+        if self.skipped.len() > MAX_SKIPPED {
+            let oldest = self.skipped.remove(0);
+            self.skipped[0].start = oldest.start;
+        }
     }
 
     /// Plan in effect.
@@ -199,10 +213,12 @@
         self.records().filter(move |record| record.revision > revision || record.state >= State::Missing)
     }
 
-    /// Whether [`records_after`](Self::records_after) a revision are all that changed since:
-    /// targets that ended before this catalog was filled, or too long ago, are not in it.
+    /// Whether [`records_after`](Self::records_after) a revision are all that a catalog lacks
+    /// that is complete up to it. Not if targets that it knows ended too long ago, or within
+    /// skipped revisions.
     pub fn is_complete_after(&self, revision: u64) -> bool {
-        revision > 0 && revision >= self.complete_since
+        let is_skipped = self.skipped.iter().any(|skipped| skipped.contains(&revision));
+        revision > 0 && revision >= self.forgotten_revision && !is_skipped
     }
 
     /// Adopts a plan if it is later than the one in effect; returns whether it was.
@@ -345,7 +361,7 @@
             if target.record.state != State::Gone || now.since(target.since) <= max_flow_lifetime_ms {
                 continue;
             }
-            self.complete_since = self.complete_since.max(target.record.revision);
+            self.forgotten_revision = self.forgotten_revision.max(target.record.revision);
             if self.by_token.get(&target.token) == Some(&index) {
                 self.by_token.remove(&target.token);
             }
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -114,6 +114,7 @@
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
         }
+        let before = self.catalog.revision();
         let mut records = snapshot.records;
         if snapshot.is_complete {
             let listed: Vec<_> = records.iter().map(|record| record.entry.name.clone()).collect();
@@ -124,14 +125,15 @@
         }
         self.catalog.advance(snapshot.revision);
         if snapshot.is_complete {
-            self.catalog.mark_complete();
+            self.catalog.record_skipped(before);
         }
         self.is_behind = false;
     }
 
-    /// Records that the last reading listed all targets.
-    pub fn mark_complete(&mut self) {
-        self.catalog.mark_complete();
+    /// Records that a reading listed all targets, when the catalog was complete up to the
+    /// revision `before`.
+    pub fn record_skipped(&mut self, before: u64) {
+        self.catalog.record_skipped(before);
     }
 
     /// Marks the catalog complete up to a revision, as the store or its reader has just
--- a/tests/relay_snapshots.rs
+++ b/tests/relay_snapshots.rs
@@ -102,6 +102,33 @@
     assert_same_targets(&ahead, &behind, "a target is left that has ended");
 }
 
+#[test]
+fn after_complete_snapshot() {
+    let (mut ahead, mut started, mut older, mut behind) = (instance(0), empty(), instance(1), instance(2));
+    change(&mut ahead, 7, State::Gone, 20, Time(1_000));
+    started.apply_snapshot(ahead.snapshot(&KnownState::default()), Time(1_000));
+    assert!(fetch(&started, &mut older, Time(1_100)).is_complete, "the peer has just started");
+    // An instance that got a complete snapshot still knows all that another one lacks.
+    let snapshot = fetch(&older, &mut behind, Time(1_200));
+    assert!(!snapshot.is_complete);
+    assert_same_targets(&ahead, &behind, "a target is left that has ended");
+}
+
+#[test]
+fn skipped_revisions() {
+    let (mut ahead, mut older, mut behind) = (instance(0), instance(1), instance(2));
+    // A target is added and ends. One instance never hears of it, another one only of the start.
+    change(&mut ahead, TARGETS, State::Ready, 10, Time(1_000));
+    fetch(&ahead, &mut behind, Time(1_000));
+    change(&mut ahead, TARGETS, State::Gone, 20, Time(1_100));
+    let mut started = empty();
+    started.apply_snapshot(ahead.snapshot(&KnownState::default()), Time(1_100));
+    fetch(&started, &mut older, Time(1_200));
+    let snapshot = fetch(&older, &mut behind, Time(1_300));
+    assert!(snapshot.is_complete);
+    assert_same_targets(&ahead, &behind, "a target is left that has ended");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
     #[test]
