Send the report of a round after the packets that waited

Cause: since ticks and rounds share one timer, a report left just before the packets that waited were placed, so peers learnt of these 20 ms later.

No test: the order is in the program, and the simulation sends reports apart from ticks.

--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -204,7 +204,6 @@
                 let now = now();
                 news::receive(&shared, now);
                 shared.forwarder.borrow_mut().tick(now);
-                rounds.send(&shared, now);
             }
             // The next tick is earlier now.
             () = shared.packet_deferred.notified(), if is_idle => continue,
@@ -214,6 +213,8 @@
         if !deferred.borrow().is_empty() {
             decide_deferred(&shared, &deferred, &mut out);
         }
+        // After the deferred packets, so that peers learn at once what was placed just now.
+        rounds.send(&shared, now());
     }
 }
 
