--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -100,7 +100,11 @@
             if probe.run.is_some() { "run" } else { "not run" }
         ));
     }
-    record.say(&format!("round {round}: {} of {} requests handled by the older version", broken.len(), probes.len()));
+    record.say(&format!(
+        "round {round}: {} of {} requests handled by the older version",
+        broken.len(),
+        probes.len()
+    ));
     // Other machines with the same roles are added.
     for machine in &lost {
         machine.start(&site.seeds(), false);
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -946,7 +946,13 @@
 }
 
 impl Machine {
-    pub fn new(net: Net, store: &Arc<Store>, folder: &PathBuf, (name, zone): (&str, &str), ip: Ipv4Addr) -> Machine {
+    pub fn new(
+        net: Net,
+        store: &Arc<Store>,
+        folder: &PathBuf,
+        (name, zone): (&str, &str),
+        ip: Ipv4Addr,
+    ) -> Machine {
         Machine {
             name: name.into(),
             zone: zone.into(),
@@ -1076,8 +1082,9 @@
             r#"{{"name":"r-{port}","host":"198.18.0.1","prefix":"/{port}/","type":"idempotent","timeoutMs":1500,"targetLatencyMs":250,"priority":2,"service":"{service}","maxAttempts":2}}"#
         )
     };
-    let service =
-        |name: &str| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":2000,"protocol":"h1","tls":false}}"#);
+    let service = |name: &str| {
+        format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":2000,"protocol":"h1","tls":false}}"#)
+    };
     let routes: Vec<String> = routes.iter().map(route).collect();
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{},{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
@@ -1136,7 +1143,13 @@
         for (zone_index, (zone, count)) in ZONES.iter().enumerate() {
             for index in 1..=*count {
                 let ip = net.ip(1 + zone_index as u8, 10 + index as u8);
-                machines.push(Machine::new(net, &store, &folder.0, (&format!("edge-{zone}-{index}"), zone), ip));
+                machines.push(Machine::new(
+                    net,
+                    &store,
+                    &folder.0,
+                    (&format!("edge-{zone}-{index}"), zone),
+                    ip,
+                ));
             }
         }
         let client = Client::new(net.ip(100, 1), net.packets);
