--- a/review/standin.rs
+++ b/review/standin.rs
@@ -666,6 +666,7 @@
     pub address: SocketAddrV4,
     pub is_draining: Arc<AtomicBool>,
     pub is_ended: Arc<AtomicBool>,
+    pub resets: Mutex<Vec<Reset>>,
     store: Arc<Store>,
 }
 
@@ -688,6 +689,7 @@
             address,
             is_draining: Arc::default(),
             is_ended: Arc::default(),
+            resets: Mutex::default(),
             store: store.clone(),
         });
         let (beating, serving, runs) = (server.clone(), server.clone(), runs.clone());
@@ -749,6 +751,8 @@
             }
             let Some(flow) = flows.get_mut(&key) else {
                 if packet.flags & RST == 0 {
+                    let reset = Reset { server: self.id.clone(), client: packet.src, at: Instant::now() };
+                    self.resets.lock().unwrap().push(reset);
                     send(RST, packet.ack, 0, Vec::new());
                 }
                 continue;
@@ -759,9 +763,9 @@
             }
             let received = packet.seq.wrapping_add(packet.data.len() as u32);
             if !packet.data.is_empty() {
-                let text = String::from_utf8_lossy(&packet.data);
-                let request = text.lines().find_map(|line| line.strip_prefix("X-Request-Id: "));
-                if flow.answer.is_none() {
+                if packet.seq == flow.next {
+                    let text = String::from_utf8_lossy(&packet.data);
+                    let request = text.lines().find_map(|line| line.strip_prefix("X-Request-Id: "));
                     let request = request.unwrap_or("").trim().to_owned();
                     runs.lock().unwrap().push(Run {
                         request: request.clone(),
@@ -770,35 +774,60 @@
                         at: Instant::now(),
                         opened_at: flow.opened_at,
                     });
+                    flow.next = received;
+                    flow.answer_seq = flow.sent;
                     let body = format!("{} ran {request}", self.id);
-                    flow.answer = Some(format!(
+                    flow.answer = format!(
                         "HTTP/1.1 200 OK\r\nX-Server-Signature: {}\r\nContent-Length: {}\r\n\r\n{body}",
                         self.id,
                         body.len()
-                    ));
+                    );
+                    flow.sent = flow.sent.wrapping_add(flow.answer.len() as u32);
                 }
-                let answer = flow.answer.clone().unwrap_or_default();
-                send(ACK, flow.seq.wrapping_add(1), received, answer.into_bytes());
+                send(ACK, flow.answer_seq, flow.next, flow.answer.clone().into_bytes());
             } else if packet.flags & FIN != 0 {
-                let sent = flow.answer.as_ref().map_or(0, String::len) as u32;
-                send(ACK | FIN, flow.seq.wrapping_add(1 + sent), received.wrapping_add(1), Vec::new());
+                send(ACK | FIN, flow.sent, received.wrapping_add(1), Vec::new());
             }
         }
     }
 }
 
+/// Flow at a server, with sequence numbers as in TCP.
 struct Flow {
+    /// The server's first sequence number.
     seq: u32,
     opened_at: Instant,
-    answer: Option<String>,
+    /// Next byte that the client sends.
+    next: u32,
+    /// Next byte that the server sends.
+    sent: u32,
+    /// Last answer, and its first byte.
+    answer: String,
+    answer_seq: u32,
 }
 
 impl Flow {
-    fn new(seq: u32) -> Flow {
-        Flow { seq: seq.wrapping_mul(2_654_435_761) | 0x4000_0000, opened_at: Instant::now(), answer: None }
+    fn new(client_seq: u32) -> Flow {
+        let seq = client_seq.wrapping_mul(2_654_435_761) | 0x4000_0000;
+        Flow {
+            seq,
+            opened_at: Instant::now(),
+            next: client_seq.wrapping_add(1),
+            sent: seq.wrapping_add(1),
+            answer: String::new(),
+            answer_seq: seq.wrapping_add(1),
+        }
     }
 }
 
+/// Reset that a server sent, as it did not hold the flow.
+#[derive(Clone, Debug)]
+pub struct Reset {
+    pub server: String,
+    pub client: SocketAddrV4,
+    pub at: Instant,
+}
+
 /// End of a client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
@@ -811,6 +840,17 @@
     Nothing,
 }
 
+/// Flow of several requests, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Lasting {
+    pub client: SocketAddrV4,
+    /// Server that answered; empty if the flow did not open.
+    pub server: String,
+    pub answered: usize,
+    /// When the client got a reset.
+    pub reset_at: Option<Instant>,
+}
+
 /// Client with an address of its own.
 pub struct Client {
     socket: UdpSocket,
@@ -857,6 +897,72 @@
         end
     }
 
+    /// Opens a flow and sends a request in it every `pause` until a moment. `stop_at` ends it.
+    pub fn lasting_flow(
+        &self,
+        ids: impl Fn() -> String,
+        route: SocketAddrV4,
+        pause: Duration,
+        stop_at: Instant,
+        node: impl Fn(SocketAddrV4) -> Option<SocketAddrV4>,
+    ) -> Lasting {
+        let count = self.next.fetch_add(1, Ordering::Relaxed);
+        let src = SocketAddrV4::new(self.ip, 20_000 + (count % 40_000) as u16);
+        let (sender, receiver) = channel();
+        self.flows.lock().unwrap().insert(src.port(), sender);
+        let mut flow = Lasting { client: src, server: String::new(), answered: 0, reset_at: None };
+        let send = |flags: u8, seq: u32, ack: u32, echo: u32, data: &[u8]| {
+            let packet = Packet { flags, seq, ack, src, dst: route, echo, data: data.to_vec() };
+            if let Some(node) = node(src) {
+                let _ = self.socket.send_to(&packet.to_bytes(), node);
+            }
+        };
+        let mut seq = 1_000_000 + u32::from(src.port());
+        send(SYN, seq, 0, 0, &[]);
+        let opened = receiver.recv_timeout(COPIES[0]).ok().filter(|packet| packet.flags & SYN != 0);
+        let Some(opening) = opened else { return flow };
+        seq += 1;
+        let (mut ack, mut echo) = (opening.seq.wrapping_add(1), opening.echo);
+        send(ACK, seq, ack, echo, &[]);
+        'requests: while Instant::now() < stop_at {
+            let request = format!("GET / HTTP/1.1\r\nX-Request-Id: {}\r\n\r\n", ids());
+            let mut wait = ms(200);
+            send(ACK, seq, ack, echo, request.as_bytes());
+            loop {
+                match receiver.recv_timeout(wait) {
+                    // A reset that fits to the flow.
+                    Ok(packet) if packet.flags & RST != 0 => {
+                        if packet.seq.wrapping_sub(ack) <= 76_800 || ack.wrapping_sub(packet.seq) <= 76_800 {
+                            flow.reset_at = Some(Instant::now());
+                            break 'requests;
+                        }
+                    }
+                    Ok(packet) if !packet.data.is_empty() && packet.seq == ack => {
+                        let text = String::from_utf8_lossy(&packet.data).into_owned();
+                        let signature =
+                            text.lines().find_map(|line| line.strip_prefix("X-Server-Signature: "));
+                        flow.server = signature.unwrap_or("").trim().into();
+                        flow.answered += 1;
+                        echo = packet.echo;
+                        ack = ack.wrapping_add(packet.data.len() as u32);
+                        seq = seq.wrapping_add(request.len() as u32);
+                        send(ACK, seq, ack, echo, &[]);
+                        break;
+                    }
+                    Ok(_) => {}
+                    Err(_) if Instant::now() >= stop_at => break 'requests,
+                    Err(_) => {
+                        send(ACK, seq, ack, echo, request.as_bytes());
+                        wait = (2 * wait).min(ms(1_600));
+                    }
+                }
+            }
+            sleep(pause);
+        }
+        self.flows.lock().unwrap().remove(&src.port());
+        flow
+    }
+
     fn run_flow(
         &self,
         id: &str,
@@ -1108,6 +1214,11 @@
 /// Servers of each service, over the zones in turn.
 const SERVERS: [(&str, usize); 2] = [("matching", 14), ("documents", 4)];
 
+/// Id of a server by its number.
+pub fn server_id(number: u8) -> String {
+    format!("i-{:08x}", 0x7f3a_91c0u32 + u32::from(number) * 0x101)
+}
+
 /// Store, servers, machines and a client.
 pub struct Site {
     pub net: Net,
@@ -1124,6 +1235,16 @@
 impl Site {
     /// Starts the store with a first configuration, the servers, and then the machines.
     pub fn start(name: &str, record: &Arc<Record>, routes: &[(u16, &str)]) -> Site {
+        Site::with_first_server(name, record, routes, &server_id(1))
+    }
+
+    /// The same with an id for the first server.
+    pub fn with_first_server(
+        name: &str,
+        record: &Arc<Record>,
+        routes: &[(u16, &str)],
+        first_id: &str,
+    ) -> Site {
         let net = Net::pick();
         let store = Store::new();
         let runs = Runs::default();
@@ -1132,7 +1253,7 @@
         for (service, count) in SERVERS {
             for index in 0..count {
                 let host = servers.len() as u8 + 1;
-                let id = format!("i-{:08x}", 0x7f3a_91c0u32 + u32::from(host) * 0x101);
+                let id = if host == 1 { first_id.into() } else { server_id(host) };
                 let zone = ZONES[index % ZONES.len()].0;
                 let address = SocketAddrV4::new(net.ip(50, host), net.server);
                 servers.push(Server::start(&store, (&id, service, zone), address, net.packets, &runs));
@@ -1191,6 +1312,15 @@
         }
     }
 
+    /// Adds a server of a service, as on its own machine.
+    pub fn add_server(&mut self, id: &str, service: &str) {
+        let host = self.servers.len() as u8 + 1;
+        let zone = ZONES[self.servers.len() % ZONES.len()].0;
+        let address = SocketAddrV4::new(self.net.ip(50, host), self.net.server);
+        let server = Server::start(&self.store, (id, service, zone), address, self.net.packets, &self.runs);
+        self.servers.push(server);
+    }
+
     /// Number for the next request.
     pub fn next_request(&self) -> String {
         format!("q-{:05}", self.requests.fetch_add(1, Ordering::Relaxed))
