--- a/review/standin.rs
+++ b/review/standin.rs
@@ -376,6 +376,9 @@
     }
 }
 
+/// Most items in a page.
+const PAGE_ITEMS: usize = 500;
+
 /// Time that the store takes for an answer.
 const STORE_ANSWER: Duration = Duration::from_millis(4);
 
@@ -474,8 +477,12 @@
 
     fn answer(&self, method: &str, target: &str, body: &str, door: &Door) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let pairs: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let text = |name: &str| pairs.get(name).copied().unwrap_or("");
+        let pairs: HashMap<&str, String> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name, decode(value)))
+            .collect();
+        let text = |name: &str| pairs.get(name).map_or("", String::as_str);
         match (method, path) {
             ("GET", "/kv-key") => self.key(text("key")),
             ("GET", "/kv-range") => {
@@ -507,9 +514,11 @@
     fn range(&self, prefix: &str, after: &str) -> (u16, String) {
         let content = self.content.lock().unwrap();
         let found = content.items.values().filter(|item| item.key.starts_with(prefix) && *item.key > *after);
-        let items: Vec<String> = found.map(Item::to_json).collect();
-        let revision = content.revision;
-        (200, format!(r#"{{"items":[{}],"hasMore":false,"storeRevision":{revision}}}"#, items.join(",")))
+        let mut items: Vec<String> = found.take(PAGE_ITEMS + 1).map(Item::to_json).collect();
+        let has_more = items.len() > PAGE_ITEMS;
+        items.truncate(PAGE_ITEMS);
+        let (items, revision) = (items.join(","), content.revision);
+        (200, format!(r#"{{"items":[{items}],"hasMore":{has_more},"storeRevision":{revision}}}"#))
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
@@ -551,6 +560,26 @@
     }
 }
 
+/// Decodes a value of a query.
+fn decode(value: &str) -> String {
+    let mut out = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((&byte, next)) = rest.split_first() {
+        let digits = next.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        match (byte, digits.and_then(|digits| u8::from_str_radix(digits, 16).ok())) {
+            (b'%', Some(decoded)) => {
+                out.push(decoded);
+                rest = &next[2..];
+            }
+            _ => {
+                out.push(byte);
+                rest = next;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String, String)> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|length| *length > 0)?;
@@ -1129,6 +1158,16 @@
         }
     }
 
+    /// Stops the process as the platform does: SIGTERM, and SIGKILL after `graceS`.
+    pub fn stop(&self) {
+        self.signal("TERM");
+        let started = Instant::now();
+        while !self.has_ended() && started.elapsed() < ms(6_000) {
+            sleep(ms(20));
+        }
+        self.kill();
+    }
+
     /// Sends another signal, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &*self.child.lock().unwrap() {
