--- a/review/standin.rs
+++ b/review/standin.rs
@@ -87,11 +87,16 @@
     }
 }
 
+/// Sends a signal to a process that this case has started, by the shell's own command.
+fn send_signal(signal: &str, id: u32) {
+    let _ = Command::new("sh").args(["-c", &format!("kill -s {signal} {id}")]).status();
+}
+
 /// Ends a case that cannot run, with all processes that it started.
 pub fn stop(reason: &str) -> ! {
     eprintln!("cannot run: {reason}");
     for id in PROCESSES.lock().unwrap().iter() {
-        let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        send_signal("KILL", *id);
     }
     std::process::exit(CANNOT_RUN)
 }
@@ -376,8 +381,9 @@
     }
 }
 
-/// Most items in a page.
+/// Most items and bytes in a page; a larger item has one of its own.
 const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
 
 /// Time that the store takes for an answer.
 const STORE_ANSWER: Duration = Duration::from_millis(4);
@@ -514,9 +520,16 @@
     fn range(&self, prefix: &str, after: &str) -> (u16, String) {
         let content = self.content.lock().unwrap();
         let found = content.items.values().filter(|item| item.key.starts_with(prefix) && *item.key > *after);
-        let mut items: Vec<String> = found.take(PAGE_ITEMS + 1).map(Item::to_json).collect();
-        let has_more = items.len() > PAGE_ITEMS;
-        items.truncate(PAGE_ITEMS);
+        let (mut items, mut bytes, mut has_more) = (Vec::new(), 0, false);
+        for item in found {
+            let json = item.to_json();
+            bytes += json.len();
+            has_more = !items.is_empty() && (items.len() == PAGE_ITEMS || bytes > PAGE_BYTES);
+            if has_more {
+                break;
+            }
+            items.push(json);
+        }
         let (items, revision) = (items.join(","), content.revision);
         (200, format!(r#"{{"items":[{items}],"hasMore":{has_more},"storeRevision":{revision}}}"#))
     }
@@ -1171,8 +1184,7 @@
     /// Sends another signal, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &*self.child.lock().unwrap() {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args(["-s", signal, &id]).status();
+            send_signal(signal, child.id());
         }
     }
 
