Keep apart up to where the targets and the plan are complete

Cause: an update carries no plan, but its revision counted for the whole state, and the next reading of the store began there.

Evidence: any_survivor fails with the former meaning of Catalog::revision, minimal case: a plan is written, one instance reads it, its update arrives, all others are lost. Ruled out: lost updates, stale answers of the store.

Fix: two revisions, moved by separate evidence; a reading begins at the lower one.

--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -145,7 +145,7 @@
     let forwarder = shared.forwarder.borrow();
     let catalog = forwarder.catalog();
     let zone = &shared.settings.zone;
-    let peers = forwarder.peers().ahead(zone, catalog.revision(), catalog.plan().version, now());
+    let peers = forwarder.peers().ahead(zone, catalog.target_revision(), catalog.plan().version, now());
     let index = rand::random_range(0..peers.len().max(1));
     peers.get(index).map(|peer| *peer.address.ip())
 }
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -11,7 +11,7 @@
 use ragwortlb::{
     relay::{
         catalog::{self, Record, State},
-        gossip,
+        forwarder, gossip,
     },
     time::Time,
 };
@@ -185,7 +185,7 @@
     );
     log::info!(targets = present.len(), revision = reading.revision; "E745 read all keys of the store");
     let is_reader = shared.forwarder.borrow().is_reader(now);
-    let before = shared.forwarder.borrow().catalog().revision();
+    let before = shared.forwarder.borrow().catalog().target_revision();
     apply_changes(shared, store, reading, unlisted, is_reader);
     shared.forwarder.borrow_mut().record_skipped(before);
 }
@@ -202,39 +202,56 @@
     shared: &Shared,
     store: &StoreState,
     reading: Reading,
-    mut records: Vec<Record>,
+    records: Vec<Record>,
     is_announced: bool,
 ) {
     let now = now();
     let store_unstable = store.is_store_unstable(now);
+    let mut result = forwarder::Reading { plan: None, records, revision: reading.revision };
     for revised in reading.events {
-        records.extend(record(shared, revised, store_unstable, now));
+        collect(shared, revised, store_unstable, now, &mut result);
     }
-    let update = shared.forwarder.borrow_mut().apply_reading(records, reading.revision, now);
+    let mut forwarder = shared.forwarder.borrow_mut();
+    let former_plan = forwarder.catalog().plan().version;
+    let update = forwarder.apply_reading(result, now);
+    let plan = forwarder.catalog().plan();
+    if plan.version > former_plan {
+        log::info!(plan = plan.version, routes = plan.routes.len(), revision = update.revision; "E744 plan in effect");
+    }
+    drop(forwarder);
     shared.state_changed.notify_one();
     if is_announced && update.after > 0 {
         send_update(shared, gossip::split(update));
     }
 }
 
-/// Converts a target's event to a record for the catalog. Other events are applied here.
-fn record(shared: &Shared, revised: RevisedEvent, store_unstable: bool, now: Time) -> Option<Record> {
+/// Adds an event to a reading, as a record if it is a target's. Instances are discovered here.
+fn collect(
+    shared: &Shared,
+    revised: RevisedEvent,
+    store_unstable: bool,
+    now: Time,
+    reading: &mut forwarder::Reading,
+) {
     let revision = revised.revision;
     let mut forwarder = shared.forwarder.borrow_mut();
     match revised.event {
         Event::Target(entry) => {
             let state = if entry.leaving { State::Leaving } else { State::Ready };
-            return Some(Record { entry, state, revision });
+            reading.records.push(Record { entry, state, revision });
+        }
+        Event::TargetRemoved(name) => {
+            reading.records.extend(forwarder.catalog().removal(&name, revision, store_unstable));
         }
-        Event::TargetRemoved(name) => return forwarder.catalog().removal(&name, revision, store_unstable),
         Event::Malformed { key, target, reason } => {
             log::warn!(key:%, revision, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
-            return forwarder.catalog().removal(&target?, revision, false);
+            let removal = target.and_then(|name| forwarder.catalog().removal(&name, revision, false));
+            reading.records.extend(removal);
         }
         Event::Plan(plan) => {
-            let (version, routes) = (plan.version, plan.routes.len());
-            if forwarder.adopt(plan) {
-                log::info!(plan = version, routes, revision; "E744 plan in effect");
+            let is_later = reading.plan.as_ref().is_none_or(|former| plan.version > former.version);
+            if is_later {
+                reading.plan = Some(plan);
             }
         }
         Event::Instance { name, zone, ip } if name != shared.settings.name => {
@@ -242,7 +259,6 @@
         }
         Event::Instance { .. } | Event::Other => {}
     }
-    None
 }
 
 /// Removes targets that did not register again in time after a store outage.
@@ -258,7 +274,8 @@
     for record in &records {
         forwarder.apply(record.clone(), now);
     }
-    let revision = forwarder.catalog().revision();
+    let revision = forwarder.catalog().target_revision();
+    let plan_mark = forwarder.catalog().plan_mark();
     drop(forwarder);
-    send_update(shared, gossip::split(gossip::Update { after: revision, revision, records }));
+    send_update(shared, gossip::split(gossip::Update { after: revision, revision, plan_mark, records }));
 }
--- a/crates/ragwortlbd/src/relay/news.rs
+++ b/crates/ragwortlbd/src/relay/news.rs
@@ -77,9 +77,9 @@
             }
         }
         Message::Update(update) => {
-            let before = forwarder.catalog().revision();
+            let before = forwarder.catalog().target_revision();
             let must_forward = forwarder.apply_update(update.clone(), &frame.zone, now);
-            if forwarder.catalog().revision() > before {
+            if forwarder.catalog().target_revision() > before {
                 shared.state_changed.notify_one();
             }
             if must_forward {
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -50,6 +50,16 @@
     Gone,
 }
 
+/// Latest plan that was written up to a store revision.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Mark {
+    /// Version of the plan.
+    pub version: u64,
+    /// Store revision up to which no later plan was written.
+    pub revision: u64,
+}
+
 /// State of one target at a store revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -105,8 +115,11 @@
 /// Targets and routes.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
-    revision: u64,
+    /// Store revision up to which the targets are complete.
+    target_revision: u64,
     plan: Plan,
+    /// Store revision up to which no plan later than `plan` was written.
+    plan_revision: u64,
     targets: Vec<Option<Target>>,
     by_token: HashMap<Token, usize>,
     by_name: HashMap<Arc<str>, usize>,
@@ -122,23 +135,43 @@
 }
 
 impl Catalog {
-    /// Revision up to which the catalog is complete.
+    /// Revision up to which the catalog is complete, targets and plan alike. A reader of the
+    /// store continues from here.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.target_revision.min(self.plan_revision)
+    }
+
+    /// Revision up to which the targets are complete. The plan may be older, as updates from
+    /// peers carry no plans.
+    pub fn target_revision(&self) -> u64 {
+        self.target_revision
     }
 
-    /// Marks the catalog complete up to a revision.
-    pub fn advance(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Marks the targets complete up to a revision.
+    pub fn advance_targets(&mut self, revision: u64) {
+        self.target_revision = self.target_revision.max(revision);
+    }
+
+    /// Plan in effect, and the revision up to which it is known to be the latest.
+    pub fn plan_mark(&self) -> Mark {
+        Mark { version: self.plan.version, revision: self.plan_revision }
+    }
+
+    /// Marks the plan complete up to the revision of a mark, unless the plan in effect is
+    /// older than the one that the mark names.
+    pub fn confirm_plan(&mut self, mark: Mark) {
+        if self.plan.version >= mark.version {
+            self.plan_revision = self.plan_revision.max(mark.revision);
+        }
     }
 
-    /// Records that a list of all targets was applied to a catalog that was complete up to
-    /// the revision `before`, rather than each change since.
+    /// Records that a list of all targets was applied to a catalog whose targets were complete
+    /// up to the revision `before`, rather than each change since.
     pub fn record_skipped(&mut self, before: u64) {
-        if before >= self.revision {
+        if before >= self.target_revision {
             return;
         }
-        self.skipped.push(before + 1..self.revision);
+        self.skipped.push(before + 1..self.target_revision);
         if self.skipped.len() > MAX_SKIPPED {
             let oldest = self.skipped.remove(0);
             self.skipped[0].start = oldest.start;
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -17,6 +17,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+pub use self::sync::Reading;
 pub use self::verdict::{Context, Deferral, Destination, DropReason, Notice, Placement, Refusal, Verdict};
 use super::{
     Kind, Packet, Token,
@@ -125,7 +126,7 @@
     budgets: Vec<[Option<Budget>; budget::CLASS_COUNT]>,
     /// Whether an update was missed.
     is_behind: bool,
-    /// When the catalog was last confirmed to be complete.
+    /// When the targets were last confirmed to be complete.
     synced_at: Time,
     is_store_unreachable: bool,
     /// Targets of the cell, by service.
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -6,7 +6,7 @@
 use crate::{
     relay::{
         Plan,
-        catalog::{Change, Record},
+        catalog::{Change, Mark, Record},
         gossip::{self, KnownState, Load, Report, Snapshot, Update},
         load,
         peers::Peers,
@@ -14,23 +14,41 @@
     time::Time,
 };
 
+/// What was read from the store up to a revision: the changes since an earlier one, or all
+/// keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Plan, if it was read.
+    pub plan: Option<Plan>,
+    /// Records of the targets.
+    pub records: Vec<Record>,
+    /// Store revision.
+    pub revision: u64,
+}
+
 impl Forwarder {
     /// Adopts a plan if it is later than the one in effect; returns whether it was.
     pub fn adopt(&mut self, plan: Plan) -> bool {
         self.catalog.adopt(plan)
     }
 
-    /// Applies records that were read from the store up to a revision; returns the update
-    /// for peers. It includes records already known here: those may have arrived in an
-    /// update that not all peers got.
-    pub fn apply_reading(&mut self, records: Vec<Record>, revision: u64, now: Time) -> Update {
-        let after = self.catalog.revision();
+    /// Applies what was read from the store; returns the update for peers. It includes records
+    /// already known here: those may have arrived in an update that not all peers got.
+    ///
+    /// The reading holds all that was written after the catalog's
+    /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys.
+    pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
+        let Reading { plan, records, revision } = reading;
+        let after = self.catalog.target_revision();
+        if let Some(plan) = plan {
+            self.adopt(plan);
+        }
         for record in &records {
             self.apply(record.clone(), now);
         }
         self.advance(revision, now);
         self.confirm_after_pause();
-        Update { after, revision, records }
+        Update { after, revision, plan_mark: self.catalog.plan_mark(), records }
     }
 
     /// Applies a record if it is later than the known one.
@@ -56,23 +74,24 @@
     /// A reader that reaches the store ignores updates of other zones: its catalog would
     /// advance past records that its own zone has not got. A reader that cannot reach the
     /// store applies them and passes them on.
-    pub fn apply_update(&mut self, records: Update, zone: &str, now: Time) -> bool {
+    pub fn apply_update(&mut self, update: Update, zone: &str, now: Time) -> bool {
         let is_same_zone = zone == &*self.settings.zone;
         let is_reader = self.is_reader(now);
         if is_reader && !is_same_zone && !self.is_store_unreachable {
             return false;
         }
-        let before = self.catalog.revision();
-        let is_next = records.after <= before;
-        for record in records.records {
+        let before = self.catalog.target_revision();
+        let is_next = update.after <= before;
+        for record in update.records {
             self.apply(record, now);
         }
+        self.catalog.confirm_plan(update.plan_mark);
         if is_next {
-            self.advance(records.revision, now);
+            self.advance_targets(update.revision, now);
         } else if is_same_zone {
             self.is_behind = true;
         }
-        is_reader && !is_same_zone && self.catalog.revision() > before
+        is_reader && !is_same_zone && self.catalog.target_revision() > before
     }
 
     /// Sets whether this instance cannot read the store.
@@ -87,14 +106,14 @@
 
     /// What this instance asks a peer's state for.
     pub fn known_state(&self) -> KnownState {
-        KnownState { revision: self.catalog.revision(), plan_version: self.catalog.plan().version }
+        KnownState { revision: self.catalog.target_revision(), plan_version: self.catalog.plan().version }
     }
 
     /// State of this instance without what a peer has already: complete for a peer that has
     /// just started, otherwise the later plan and the records that have changed.
     pub fn snapshot(&self, known: &KnownState) -> Snapshot {
         let plan = self.catalog.plan();
-        let revision = self.catalog.revision();
+        let revision = self.catalog.target_revision();
         let is_complete = !self.catalog.is_complete_after(known.revision);
         let (records, members) = match is_complete {
             false => (self.catalog.records_after(known.revision).cloned().collect(), Vec::new()),
@@ -105,7 +124,7 @@
         };
         let is_later = plan.version > known.plan_version;
         let plan = if is_later { plan.clone() } else { Plan::default() };
-        Snapshot { revision, plan, is_complete, records, members }
+        Snapshot { revision, plan_mark: self.catalog.plan_mark(), plan, is_complete, records, members }
     }
 
     /// Applies the state of a peer. Targets that a complete snapshot does not list are gone.
@@ -114,7 +133,8 @@
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
         }
-        let before = self.catalog.revision();
+        self.catalog.confirm_plan(snapshot.plan_mark);
+        let before = self.catalog.target_revision();
         let mut records = snapshot.records;
         if snapshot.is_complete {
             let listed: Vec<_> = records.iter().map(|record| record.entry.name.clone()).collect();
@@ -123,28 +143,34 @@
         for record in records {
             self.apply(record, now);
         }
-        self.catalog.advance(snapshot.revision);
+        self.catalog.advance_targets(snapshot.revision);
         if snapshot.is_complete {
             self.catalog.record_skipped(before);
         }
         self.is_behind = false;
     }
 
-    /// Records that a reading listed all targets, when the catalog was complete up to the
+    /// Records that a reading listed all targets, when the targets were complete up to the
     /// revision `before`.
     pub fn record_skipped(&mut self, before: u64) {
         self.catalog.record_skipped(before);
     }
 
-    /// Marks the catalog complete up to a revision, as the store or its reader has just
-    /// confirmed.
+    /// Marks targets and plan complete up to a revision, as the store has just confirmed.
     pub fn advance(&mut self, revision: u64, now: Time) {
-        self.catalog.advance(revision);
+        self.catalog.confirm_plan(Mark { revision, ..self.catalog.plan_mark() });
+        self.advance_targets(revision, now);
+    }
+
+    /// Marks the targets complete up to a revision, as the store or its reader has just
+    /// confirmed.
+    fn advance_targets(&mut self, revision: u64, now: Time) {
+        self.catalog.advance_targets(revision);
         self.is_behind = false;
         self.synced_at = now;
     }
 
-    /// Time since the store or its reader last confirmed that the catalog is complete, in
+    /// Time since the store or its reader last confirmed that the targets are complete, in
     /// milliseconds. They confirm it also when nothing has changed.
     pub fn sync_age_ms(&self, now: Time) -> u64 {
         now.since(self.synced_at)
@@ -225,7 +251,7 @@
             false => Default::default(),
         };
         Report {
-            revision: self.catalog.revision(),
+            revision: self.catalog.target_revision(),
             plan_version: self.catalog.plan().version,
             is_leaving: self.is_leaving,
             loads,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -26,11 +26,15 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use super::{Plan, Token, catalog::Record, flows::FlowKey};
+use super::{
+    Plan, Token,
+    catalog::{Mark, Record},
+    flows::FlowKey,
+};
 use crate::Error;
 
 /// Version of the encoding.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Longest datagram, in bytes, to fit into one packet on common links.
 pub const MAX_FRAME_BYTES: usize = 1_400;
@@ -87,7 +91,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Report {
-    /// Store revision up to which the sender's catalog is complete.
+    /// Store revision up to which the sender's targets are complete.
     pub revision: u64,
     /// Version of its plan.
     pub plan_version: u64,
@@ -114,6 +118,8 @@
     pub after: u64,
     /// Revision that the receiver reaches with this update.
     pub revision: u64,
+    /// Plan of the sender. A receiver with an older plan has to fetch it.
+    pub plan_mark: Mark,
     /// Changed records.
     #[serde(rename = "rows")]
     pub records: Vec<Record>,
@@ -166,7 +172,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct KnownState {
-    /// Store revision up to which its catalog is complete; zero if it has none.
+    /// Store revision up to which its targets are complete; zero if it has none.
     pub revision: u64,
     /// Version of its plan; zero if it has none.
     pub plan_version: u64,
@@ -179,9 +185,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Snapshot {
-    /// Store revision up to which the receiver is complete with it; zero if the sender has
-    /// no state.
+    /// Store revision up to which the receiver's targets are complete with it; zero if the
+    /// sender has no state.
     pub revision: u64,
+    /// Plan of the sender.
+    pub plan_mark: Mark,
     /// Plan in effect; version zero if the receiver has it.
     pub plan: Plan,
     /// Whether it lists all targets, rather than those that have changed.
@@ -247,7 +255,7 @@
 /// revision do not fit into a datagram, the result has no records and requires its own
 /// revision; receivers then see a gap and fetch a snapshot.
 pub fn split(update: Update) -> Vec<Update> {
-    let Update { mut after, revision, mut records } = update;
+    let Update { mut after, revision, plan_mark, mut records } = update;
     records.sort_by_key(|record| record.revision);
     let mut parts = Vec::new();
     let mut part = Vec::new();
@@ -257,16 +265,16 @@
         if bytes + size > MAX_RECORDS_BYTES && !part.is_empty() {
             let reached = part.last().map_or(after, |last: &Record| last.revision);
             if reached == record.revision {
-                return vec![Update { after: revision, revision, records: Vec::new() }];
+                return vec![Update { after: revision, revision, plan_mark, records: Vec::new() }];
             }
-            parts.push(Update { after, revision: reached, records: std::mem::take(&mut part) });
+            parts.push(Update { after, revision: reached, plan_mark, records: std::mem::take(&mut part) });
             after = reached;
             bytes = 0;
         }
         bytes += size;
         part.push(record);
     }
-    parts.push(Update { after, revision, records: part });
+    parts.push(Update { after, revision, plan_mark, records: part });
     parts
 }
 
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -9,8 +9,8 @@
 use ragwortlb::{
     relay::{
         Entry,
-        catalog::{Record, State},
-        forwarder::{Forwarder, Settings},
+        catalog::{Mark, Record, State},
+        forwarder::{Forwarder, Reading, Settings},
         gossip::{self, Frame, MAX_FRAME_BYTES, Member, Message, Snapshot, Update},
         peers::{PEER_TIMEOUT_MS, Peers, ZONE_TIMEOUT_MS},
     },
@@ -33,6 +33,11 @@
     (1..=count).map(|index| Record { entry: entry(index), state: State::Ready, revision: index }).collect()
 }
 
+/// Plan of a sender that has none either.
+fn mark(revision: u64) -> Mark {
+    Mark { version: 0, revision }
+}
+
 fn frame(message: Message) -> Frame {
     Frame { sender: "edge-pa-1-of-a-long-name".into(), zone: "availability-zone".into(), message }
 }
@@ -43,7 +48,8 @@
 
 #[test]
 fn records_in_datagrams() {
-    let parts = gossip::split(Update { after: 3, revision: 200, records: records(200) });
+    let parts =
+        gossip::split(Update { after: 3, revision: 200, plan_mark: mark(200), records: records(200) });
     assert!(parts.len() > 1);
     for records in &parts {
         assert!(frame(Message::Update(records.clone())).to_bytes().len() <= MAX_FRAME_BYTES);
@@ -65,7 +71,8 @@
 
 #[test]
 fn lost_part() {
-    let parts = gossip::split(Update { after: 0, revision: 200, records: records(200) });
+    let parts =
+        gossip::split(Update { after: 0, revision: 200, plan_mark: mark(200), records: records(200) });
     for lost in 0..parts.len() {
         let forwarder = forwarder_without(&parts, lost);
         assert!(forwarder.catalog().revision() < 200, "part {lost} is lost");
@@ -78,7 +85,7 @@
 fn oversized_revision() {
     let mut same = records(40);
     same.iter_mut().for_each(|record| record.revision = 9);
-    let parts = gossip::split(Update { after: 0, revision: 9, records: same });
+    let parts = gossip::split(Update { after: 0, revision: 9, plan_mark: mark(9), records: same });
     let forwarder = forwarder_without(&parts, parts.len());
     assert!(forwarder.is_behind(), "records that do not fit must be fetched");
     assert!(forwarder.catalog().revision() < 9);
@@ -109,13 +116,13 @@
 }
 
 fn update(after: u64, revision: u64) -> Update {
-    Update { after, revision, records: Vec::new() }
+    Update { after, revision, plan_mark: mark(revision), records: Vec::new() }
 }
 
 #[test]
 fn lost_update() {
     let mut forwarder = complete(false);
-    forwarder.apply_update(Update { after: 7, revision: 9, records: records(1) }, "pa", Time(1));
+    forwarder.apply_update(Update { records: records(1), ..update(7, 9) }, "pa", Time(1));
     assert_eq!(forwarder.catalog().revision(), 5, "an update after a gap does not make it complete");
     assert!(forwarder.is_behind());
     forwarder.apply_update(update(4, 9), "pa", Time(1));
@@ -129,8 +136,8 @@
     forwarder.set_store_unreachable(true);
     // The record is applied, but the gap before it keeps the catalog incomplete.
     let record = Record { revision: 8, ..records(1).remove(0) };
-    forwarder.apply_update(Update { after: 7, revision: 9, records: vec![record.clone()] }, "ct", Time(1));
-    let update = forwarder.apply_reading(vec![record], 9, Time(2));
+    forwarder.apply_update(Update { records: vec![record.clone()], ..update(7, 9) }, "ct", Time(1));
+    let update = forwarder.apply_reading(Reading { plan: None, records: vec![record], revision: 9 }, Time(2));
     assert_eq!((update.after, update.revision), (5, 9));
     assert_eq!(update.records.len(), 1, "peers that are complete up to 5 lack the record");
 }
@@ -220,7 +227,7 @@
 
     #[test]
     fn truncated_frames(count in 0u64..20, cut in 1usize..40) {
-        let bytes = frame(Message::Update(Update { after: 1, revision: 2, records: records(count) })).to_bytes();
+        let bytes = frame(Message::Update(Update { records: records(count), ..update(1, 2) })).to_bytes();
         let cut = cut.min(bytes.len());
         prop_assert!(Frame::from_bytes(&bytes[..bytes.len() - cut]).is_err());
     }
--- a/tests/relay_snapshots.rs
+++ b/tests/relay_snapshots.rs
@@ -8,7 +8,7 @@
 use ragwortlb::{
     relay::{
         catalog::{Record, State},
-        forwarder::{Forwarder, Settings},
+        forwarder::{Forwarder, Reading, Settings},
         gossip::{KnownState, Snapshot},
     },
     time::Time,
@@ -37,7 +37,8 @@
 }
 
 fn change(forwarder: &mut Forwarder, target: usize, state: State, revision: u64, now: Time) {
-    forwarder.apply_reading(vec![Record { entry: entry(target, 2), state, revision }], revision, now);
+    let records = vec![Record { entry: entry(target, 2), state, revision }];
+    forwarder.apply_reading(Reading { plan: None, records, revision }, now);
 }
 
 fn fetch(from: &Forwarder, to: &mut Forwarder, now: Time) -> Snapshot {
