Resolve the removals of a reading in the order of the store

An instance that read the start and the end of a target at once kept the target and placed flows on it until its next full read.

Cause: the daemon looked up removals in the catalog before it applied the records of the same reading. Ruled out: updates of peers, which hold records only.

--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -11,7 +11,8 @@
 use ragwortlb::{
     relay::{
         catalog::{self, Record, State},
-        forwarder, gossip,
+        forwarder::{self, Observation},
+        gossip,
     },
     time::Time,
 };
@@ -186,6 +187,7 @@
     log::info!(targets = present.len(), revision = reading.revision; "E745 read all keys of the store");
     let is_reader = shared.forwarder.borrow().is_reader(now);
     let before = shared.forwarder.borrow().catalog().target_revision();
+    let unlisted = unlisted.into_iter().map(Observation::Record).collect();
     apply_changes(shared, store, reading, unlisted, is_reader);
     shared.forwarder.borrow_mut().record_skipped(before);
 }
@@ -196,18 +198,18 @@
     apply_changes(shared, store, reading, Vec::new(), true);
 }
 
-/// Applies the events of a reading together with `records`. Sends the changes to peers if
+/// Applies `observations` and the events of a reading. Sends the changes to peers if
 /// `is_announced`, except for the first reading, which is not a change.
 fn apply_changes(
     shared: &Shared,
     store: &StoreState,
     reading: Reading,
-    records: Vec<Record>,
+    observations: Vec<Observation>,
     is_announced: bool,
 ) {
     let now = now();
     let store_unstable = store.is_store_unstable(now);
-    let mut result = forwarder::Reading { plan: None, records, revision: reading.revision };
+    let mut result = forwarder::Reading { plan: None, observations, revision: reading.revision };
     for revised in reading.events {
         collect(shared, revised, store_unstable, now, &mut result);
     }
@@ -225,7 +227,7 @@
     }
 }
 
-/// Adds an event to a reading, as a record if it is a target's. Instances are discovered here.
+/// Adds an event to a reading. Instances are discovered here.
 fn collect(
     shared: &Shared,
     revised: RevisedEvent,
@@ -234,19 +236,18 @@
     reading: &mut forwarder::Reading,
 ) {
     let revision = revised.revision;
-    let mut forwarder = shared.forwarder.borrow_mut();
     match revised.event {
         Event::Target(entry) => {
             let state = if entry.leaving { State::Leaving } else { State::Ready };
-            reading.records.push(Record { entry, state, revision });
+            reading.observations.push(Observation::Record(Record { entry, state, revision }));
         }
         Event::TargetRemoved(name) => {
-            reading.records.extend(forwarder.catalog().removal(&name, revision, store_unstable));
+            reading.observations.push(Observation::Ended { name, revision, store_unstable });
         }
         Event::Malformed { key, target, reason } => {
             log::warn!(key:%, revision, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
-            let removal = target.and_then(|name| forwarder.catalog().removal(&name, revision, false));
-            reading.records.extend(removal);
+            let ended = target.map(|name| Observation::Ended { name, revision, store_unstable: false });
+            reading.observations.extend(ended);
         }
         Event::Plan(plan) => {
             let is_later = reading.plan.as_ref().is_none_or(|former| plan.version > former.version);
@@ -255,7 +256,8 @@
             }
         }
         Event::Instance { name, zone, ip } if name != shared.settings.name => {
-            forwarder.peers_mut().discover(&name, &zone, shared.gossip_address(ip), now);
+            let address = shared.gossip_address(ip);
+            shared.forwarder.borrow_mut().peers_mut().discover(&name, &zone, address, now);
         }
         Event::Instance { .. } | Event::Other => {}
     }
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -17,7 +17,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-pub use self::sync::Reading;
+pub use self::sync::{Observation, Reading};
 pub use self::verdict::{Context, Deferral, Destination, DropReason, Notice, Placement, Refusal, Verdict};
 use super::{
     Kind, Packet, Token,
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -1,6 +1,6 @@
 //! State that the forwarder gets from the store and from peers, and sends to peers.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use super::{Context, Forwarder, Notice, Placement};
 use crate::{
@@ -20,12 +20,28 @@
 pub struct Reading {
     /// Plan, if it was read.
     pub plan: Option<Plan>,
-    /// Records of the targets.
-    pub records: Vec<Record>,
+    /// Targets, in the order in which the store returned them.
+    pub observations: Vec<Observation>,
     /// Store revision.
     pub revision: u64,
 }
 
+/// What a reading says of one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// Its entry was written, or its state follows from a list of all entries.
+    Record(Record),
+    /// Its entry was deleted, has expired or is no longer valid.
+    Ended {
+        /// Name of the target.
+        name: Arc<str>,
+        /// Store revision.
+        revision: u64,
+        /// Whether the entry may have expired because the store was unavailable.
+        store_unstable: bool,
+    },
+}
+
 impl Forwarder {
     /// Adopts a plan if it is later than the one in effect; returns whether it was.
     pub fn adopt(&mut self, plan: Plan) -> bool {
@@ -38,13 +54,24 @@
     /// The reading holds all that was written after the catalog's
     /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys.
     pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
-        let Reading { plan, records, revision } = reading;
+        let Reading { plan, observations, revision } = reading;
         let after = self.catalog.target_revision();
         if let Some(plan) = plan {
             self.adopt(plan);
         }
-        for record in &records {
-            self.apply(record.clone(), now);
+        let mut records = Vec::with_capacity(observations.len());
+        for observation in observations {
+            // Resolved in order, as a target may end that is added in the same reading.
+            let record = match observation {
+                Observation::Record(record) => Some(record),
+                Observation::Ended { name, revision, store_unstable } => {
+                    self.catalog.removal(&name, revision, store_unstable)
+                }
+            };
+            if let Some(record) = record {
+                self.apply(record.clone(), now);
+                records.push(record);
+            }
         }
         self.advance(revision, now);
         self.confirm_after_pause();
--- a/tests/relay_completeness.rs
+++ b/tests/relay_completeness.rs
@@ -1,5 +1,5 @@
-//! An instance that continues to read the store from its revision gets the latest plan, in
-//! whatever order it got its state and whoever is lost.
+//! An instance that continues to read the store from its revision lacks nothing, neither a
+//! record nor the plan, in whatever order it got its state and whoever is lost.
 
 use std::{
     collections::BTreeMap,
@@ -12,7 +12,7 @@
     relay::{
         Entry, Plan,
         catalog::{Catalog, Record, State},
-        forwarder::{Forwarder, Reading, Settings},
+        forwarder::{Forwarder, Observation, Reading, Settings},
         gossip::{self, Frame, KnownState, Message, Snapshot, Update},
     },
     time::Time,
@@ -71,19 +71,17 @@
     }
 
     /// What a watch from a revision returns.
-    fn changes(&self, after: u64, catalog: &Catalog) -> Reading {
+    fn changes(&self, after: u64) -> Reading {
         let mut reading = Reading { revision: self.revision(), ..Reading::default() };
         for (write, revision) in self.writes.iter().zip(1..).skip(after as usize) {
             match write {
                 Write::Plan { version } => reading.plan = Some(plan(*version)),
                 Write::Target { index, state: Some(state) } => {
-                    reading.records.push(record(*index, *state, revision));
+                    reading.observations.push(Observation::Record(record(*index, *state, revision)));
                 }
                 Write::Target { index, state: None } => {
-                    let former = reading.records.iter().rfind(|record| record.entry.name == name(*index));
-                    let ended =
-                        former.map(|former| Record { state: State::Gone, revision, ..former.clone() });
-                    reading.records.extend(ended.or(catalog.removal(&name(*index), revision, false)));
+                    let ended = Observation::Ended { name: name(*index), revision, store_unstable: false };
+                    reading.observations.push(ended);
                 }
             }
         }
@@ -97,7 +95,8 @@
         let mut records = catalog.unlisted(&listed, revision, false);
         records.extend(keys.targets.iter().map(|(index, (state, at))| record(*index, *state, *at)));
         let plan = (keys.plan_version > 0).then(|| plan(keys.plan_version));
-        Reading { plan, records, revision }
+        let observations = records.into_iter().map(Observation::Record).collect();
+        Reading { plan, observations, revision }
     }
 }
 
@@ -286,7 +285,7 @@
         if catalog.revision() == 0 {
             return;
         }
-        let reading = self.store.changes(catalog.revision(), catalog);
+        let reading = self.store.changes(catalog.revision());
         let update = self.instances[instance].apply_reading(reading, NOW);
         for part in gossip::split(update) {
             self.send_update(instance, &part);
@@ -379,6 +378,20 @@
     forwarder
 }
 
+// Guards against a target that gets flows for good, as its end came in the same reading as
+// its start, when the catalog did not know it yet.
+#[test]
+fn added_and_ended() {
+    let mut fleet = Fleet::new();
+    fleet.step(Step::WritePlan);
+    fleet.read_all(0, 0);
+    fleet.step(Step::WriteTarget { index: 0, state: Some(State::Ready) });
+    fleet.step(Step::WriteTarget { index: 0, state: None });
+    fleet.watch(0);
+    let states: Vec<State> = fleet.instances[0].catalog().records().map(|record| record.state).collect();
+    assert_eq!(states, [State::Gone]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
 
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -10,7 +10,7 @@
     relay::{
         Entry,
         catalog::{Mark, Record, State},
-        forwarder::{Forwarder, Reading, Settings},
+        forwarder::{Forwarder, Observation, Reading, Settings},
         gossip::{self, Frame, MAX_FRAME_BYTES, Member, Message, Snapshot, Update},
         peers::{PEER_TIMEOUT_MS, Peers, ZONE_TIMEOUT_MS},
     },
@@ -137,7 +137,10 @@
     // The record is applied, but the gap before it keeps the catalog incomplete.
     let record = Record { revision: 8, ..records(1).remove(0) };
     forwarder.apply_update(Update { records: vec![record.clone()], ..update(7, 9) }, "ct", Time(1));
-    let update = forwarder.apply_reading(Reading { plan: None, records: vec![record], revision: 9 }, Time(2));
+    let update = forwarder.apply_reading(
+        Reading { plan: None, observations: vec![Observation::Record(record)], revision: 9 },
+        Time(2),
+    );
     assert_eq!((update.after, update.revision), (5, 9));
     assert_eq!(update.records.len(), 1, "peers that are complete up to 5 lack the record");
 }
--- a/tests/relay_snapshots.rs
+++ b/tests/relay_snapshots.rs
@@ -8,7 +8,7 @@
 use ragwortlb::{
     relay::{
         catalog::{Record, State},
-        forwarder::{Forwarder, Reading, Settings},
+        forwarder::{Forwarder, Observation, Reading, Settings},
         gossip::{KnownState, Snapshot},
     },
     time::Time,
@@ -37,8 +37,9 @@
 }
 
 fn change(forwarder: &mut Forwarder, target: usize, state: State, revision: u64, now: Time) {
-    let records = vec![Record { entry: entry(target, 2), state, revision }];
-    forwarder.apply_reading(Reading { plan: None, records, revision }, now);
+    let record = Record { entry: entry(target, 2), state, revision };
+    let observations = vec![Observation::Record(record)];
+    forwarder.apply_reading(Reading { plan: None, observations, revision }, now);
 }
 
 fn fetch(from: &Forwarder, to: &mut Forwarder, now: Time) -> Snapshot {
