Check the values of a target's entry in one place

Cause: only the slots were checked. Ruled out: deep nesting and numbers out of range, which the decoder rejects.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -66,6 +66,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Error;
+
 /// Identifies a target inside packets. Every instance derives the same token from the
 /// target's name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -145,6 +147,45 @@
     pub heartbeat: u64,
 }
 
+/// Longest name, service and availability zone of a target, in bytes: the longest key of the
+/// store. A record then fits into a datagram between instances.
+const MAX_NAME_BYTES: usize = 200;
+
+/// Largest number of slots of a target.
+const MAX_SLOTS: u32 = 4_096;
+
+/// Longest warm-up of a target, in milliseconds.
+const MAX_WARM_UP_MS: u64 = 3_600_000;
+
+impl Entry {
+    /// Checks that packets can be sent to the target. Other programs may write entries too.
+    ///
+    /// # Errors
+    ///
+    /// A value is out of range.
+    pub fn check(&self) -> Result<(), Error> {
+        let texts = [("name", &self.name), ("service", &self.service), ("zone", &self.zone)];
+        let too_long = texts.iter().find(|(_, text)| text.len() > MAX_NAME_BYTES);
+        let ip = self.address.ip();
+        let message = if let Some((field, text)) = too_long {
+            format!("{field} has {} bytes, more than {MAX_NAME_BYTES}", text.len())
+        } else if self.number == 0 {
+            "number is zero, which addresses any target".into()
+        } else if self.address.port() == 0 {
+            format!("address {} has no port", self.address)
+        } else if ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
+            format!("address {} is not of one host", self.address)
+        } else if !(1..=MAX_SLOTS).contains(&self.slots) {
+            format!("{} slots, not 1 to {MAX_SLOTS}", self.slots)
+        } else if self.warm_up_ms > MAX_WARM_UP_MS {
+            format!("warm-up of {} ms, longer than {MAX_WARM_UP_MS} ms", self.warm_up_ms)
+        } else {
+            return Ok(());
+        };
+        Err(Error::new("check a target's entry", message))
+    }
+}
+
 /// Service with the weight that it has among a route's services.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -30,9 +30,6 @@
 /// in milliseconds. The operators state about two seconds.
 pub const REREGISTRATION_MS: u64 = 2_300;
 
-/// Largest number of slots of a target; an entry with more is ignored.
-const MAX_SLOTS: u32 = 4_096;
-
 /// Ranges of skipped revisions that are kept; older ones are merged.
 const MAX_SKIPPED: usize = 8;
 
@@ -281,10 +278,10 @@
 
     /// Applies a record if it is later than the known one of its target.
     ///
-    /// An entry without a valid number of slots is ignored, and the last valid one stays. So is
-    /// an unknown target's record of a revision up to which the targets are complete.
+    /// An invalid entry is ignored, and the last valid one stays. So is an unknown target's record of a revision up to which the targets are complete.
     pub fn apply(&mut self, record: Record, now: Time) -> Change {
-        if !(1..=MAX_SLOTS).contains(&record.entry.slots) {
+        // Peers send only entries that they have accepted, so there is nothing to report.
+        if record.entry.check().is_err() {
             return Change::None;
         }
         let known = self.by_name.get(&record.entry.name).copied();
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -68,7 +68,8 @@
                     self.catalog.removal(&name, revision, store_unstable)
                 }
             };
-            if let Some(record) = record {
+            // Peers would ignore an invalid record, and it may not fit into a datagram.
+            if let Some(record) = record.filter(|record| record.entry.check().is_ok()) {
                 self.apply(record.clone(), now);
                 records.push(record);
             }
