Let no odd entry stop the reading of the store

Cause: a reading failed as a whole where one part could not be handled, and the next one asked for the same. Keys are escaped, items decoded one by one, and changes that are too long for one response lead to a full read in pages at once. A malformed value no longer counts as an expired entry.

--- a/crates/ragwortlb-standin/src/packets/store.rs
+++ b/crates/ragwortlb-standin/src/packets/store.rs
@@ -20,9 +20,16 @@
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
+/// Most items of one page.
+const MAX_PAGE_ITEMS: usize = 500;
+
+/// Length of the values from which on a page is full, in bytes.
+const MAX_PAGE_BYTES: usize = 1_048_576;
+
 /// Write or removal of a key.
 #[derive(Clone, Debug)]
 struct Change {
@@ -152,7 +159,8 @@
 fn parameters(request: &Request<Incoming>) -> BTreeMap<String, String> {
     let query = request.uri().query().unwrap_or("");
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.into(), value.into())).collect()
+    let decode = |text: &str| percent_decode_str(text).decode_utf8_lossy().into_owned();
+    pairs.map(|(name, value)| (decode(name), decode(value))).collect()
 }
 
 fn item(change: &Change) -> Value {
@@ -190,8 +198,18 @@
         let after = parameters.get("after").map_or("", String::as_str);
         let state = self.lock();
         let found = state.items.values().filter(|change| change.key.starts_with(prefix));
-        let items: Vec<Value> = found.filter(|change| change.key.as_str() > after).map(item).collect();
-        respond(StatusCode::OK, &json!({"items": items, "hasMore": false, "storeRevision": state.revision}))
+        let mut changes = found.filter(|change| change.key.as_str() > after).peekable();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while items.len() < MAX_PAGE_ITEMS && bytes < MAX_PAGE_BYTES {
+            let Some(change) = changes.next() else { break };
+            bytes += change.value.as_ref().map_or(0, Vec::len);
+            items.push(item(change));
+        }
+        let has_more = changes.peek().is_some();
+        respond(
+            StatusCode::OK,
+            &json!({"items": items, "hasMore": has_more, "storeRevision": state.revision}),
+        )
     }
 
     async fn watch(&self, parameters: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -149,25 +149,36 @@
 
 /// Calls the store once: for a full read if there was none, else for changes.
 async fn call_store(shared: &Shared, client: &mut Client, store: &mut StoreState) -> Result<()> {
-    let revision = shared.forwarder.borrow().catalog().revision();
     if !store.has_full_read {
-        let freshness = if store.may_read_stale { Freshness::Stale } else { Freshness::Current };
-        let reading = client.read(freshness).await?;
-        apply_full_read(shared, store, reading);
-        store.has_full_read = true;
-        store.may_read_stale = false;
-        return Ok(());
+        return read_all(shared, client, store).await;
     }
+    let revision = shared.forwarder.borrow().catalog().revision();
     match client.watch(revision, WATCH_WAIT).await? {
         WatchResult::Reading(reading) => apply_watched(shared, store, reading),
         WatchResult::Compacted => {
             log::info!("E742 the store compacted the revisions to watch; reading all keys");
             store.has_full_read = false;
+            read_all(shared, client, store).await?;
+        }
+        WatchResult::TooLong => {
+            log::warn!("E747 the changes in the store are too long for one response; reading all keys");
+            store.has_full_read = false;
+            read_all(shared, client, store).await?;
         }
     }
     Ok(())
 }
 
+/// Reads all keys of the store.
+async fn read_all(shared: &Shared, client: &mut Client, store: &mut StoreState) -> Result<()> {
+    let freshness = if store.may_read_stale { Freshness::Stale } else { Freshness::Current };
+    let reading = client.read(freshness).await?;
+    apply_full_read(shared, store, reading);
+    store.has_full_read = true;
+    store.may_read_stale = false;
+    Ok(())
+}
+
 /// Applies a full read. Targets that it does not contain are missing or gone.
 fn apply_full_read(shared: &Shared, store: &StoreState, reading: Reading) {
     let now = now();
@@ -176,6 +187,8 @@
         .iter()
         .filter_map(|revised| match &revised.event {
             Event::Target(entry) => Some(entry.name.clone()),
+            // Its entry has not expired: the event itself removes the target.
+            Event::Malformed { target, .. } => target.clone(),
             _ => None,
         })
         .collect();
@@ -245,7 +258,9 @@
             reading.observations.push(Observation::Ended { name, revision, store_unstable });
         }
         Event::Malformed { key, target, reason } => {
-            log::warn!(key:%, revision, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
+            if shared.malformed_values.accept() {
+                log::warn!(key:%, revision, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
+            }
             let ended = target.map(|name| Observation::Ended { name, revision, store_unstable: false });
             reading.observations.extend(ended);
         }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// State of one instance. The five limiters are for lines about placed flows, refused
-/// flows, requests that waited, unanswered opening packets and peers.
+/// State of one instance. The six limiters are for lines about placed flows, refused
+/// flows, requests that waited, unanswered opening packets, peers and malformed values.
 pub(super) struct Shared {
     pub settings: Settings,
     pub forwarder: RefCell<Forwarder>,
@@ -101,6 +101,7 @@
     pub waits: LineLimiter,
     pub unanswered: LineLimiter,
     pub peers: LineLimiter,
+    pub malformed_values: LineLimiter,
     /// Notified when the catalog has changed, so that deferred and queued packets are decided
     /// again.
     pub state_changed: Notify,
@@ -133,6 +134,7 @@
             waits: LineLimiter::default(),
             unanswered: LineLimiter::default(),
             peers: LineLimiter::default(),
+            malformed_values: LineLimiter::default(),
             state_changed: Notify::new(),
             packet_deferred: Notify::new(),
         }))
@@ -149,6 +151,7 @@
         self.refusals.start_second(now(), "refusals");
         self.waits.start_second(now(), "requests that waited");
         self.peers.start_second(now(), "peers");
+        self.malformed_values.start_second(now(), "malformed values");
         self.unanswered.start_second(now(), "targets that did not answer");
         let notices = self.forwarder.borrow_mut().take_notices();
         for notice in notices {
--- a/crates/ragwortlbd/tests/packet_path.rs
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -31,8 +31,21 @@
 /// Route that only later configurations have.
 const ADDED_ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 444);
 
+/// Starts an instance with a settings file. Its log is added to a file beside that.
+fn run(settings: &Path) -> Child {
+    let log = fs::OpenOptions::new().append(true).open(settings.with_extension("log")).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_ragwortlbd"))
+        .arg("--platform")
+        .env(fixtures::SETTINGS_VARIABLE, settings)
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
 struct Instance {
     child: Child,
+    settings: PathBuf,
     packets: SocketAddrV4,
     ready: SocketAddrV4,
 }
@@ -48,6 +61,8 @@
 struct Site {
     store: Store,
     targets: Vec<Target>,
+    /// Address of the first target.
+    target_address: SocketAddrV4,
     instances: Vec<Instance>,
     client: Client,
 }
@@ -90,19 +105,12 @@
                 };
                 let path = folder("packet-path").join(format!("{net}-{index}.conf"));
                 fs::write(&path, settings.to_text()).unwrap();
-                let log = fs::File::create(path.with_extension("log")).unwrap();
-                let child = Command::new(env!("CARGO_BIN_EXE_ragwortlbd"))
-                    .arg("--platform")
-                    .env(fixtures::SETTINGS_VARIABLE, &path)
-                    .stdout(log.try_clone().unwrap())
-                    .stderr(log)
-                    .spawn()
-                    .unwrap();
-                Instance { child, packets, ready }
+                fs::File::create(path.with_extension("log")).unwrap();
+                Instance { child: run(&path), packets, ready, settings: path }
             })
             .collect();
         let client = Client::new(at(100, packet_port)).await.unwrap();
-        let site = Site { store, targets, instances, client };
+        let site = Site { store, targets, target_address: at(20, target_port), instances, client };
         for instance in &site.instances {
             wait_ready(instance.ready).await;
         }
@@ -126,6 +134,14 @@
         }
     }
 
+    /// Kills an instance and starts it again.
+    fn restart(&mut self, instance: usize) {
+        let instance = &mut self.instances[instance];
+        instance.child.kill().unwrap();
+        instance.child.wait().unwrap();
+        instance.child = run(&instance.settings);
+    }
+
     fn signal(&self, instance: usize, signal: &str) {
         let id = self.instances[instance].child.id().to_string();
         assert!(Command::new("kill").args(["-s", signal, &id]).status().unwrap().success());
@@ -194,6 +210,66 @@
     site.wait_outcome(ADDED_ROUTE, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
 }
 
+/// Guards against instances that stop following the store, or do not start, because of odd
+/// entries that another program leaves among those of the targets.
+#[tokio::test]
+async fn odd_entries() {
+    let mut site = Site::start(65).await;
+    let nested = "[".repeat(100_000);
+    let address = site.target_address;
+    let valid = fixtures::target_entry(1, address);
+    let odd = [
+        ("i-a1", nested.clone()),
+        ("i-a2", valid.replace("\"slots\":3", &format!("\"slots\":{nested}"))),
+        ("i-a3", valid.replace("\"slots\":3", "\"slots\":99999999999999999999999")),
+        ("i-a4", valid.replace("\"slots\":3", "\"slots\":1e400")),
+        ("i-a5", valid.replace(&address.to_string(), "127.65.0.20:65536")),
+        ("i-a6", valid.replace(&address.to_string(), "127.65.0.20:0")),
+        ("i-a7", valid.replace("\"booking\"", &format!("\"{}\"", "s".repeat(200_000)))),
+        ("monitor-0", valid.clone()),
+    ];
+    // With a watch.
+    for (name, value) in &odd {
+        assert!(odd.iter().filter(|(_, other)| other == value).count() == 1, "{name} is not changed");
+        site.store.write(&fixtures::target_key(name), Some(value.as_bytes()));
+    }
+    site.store.write(fixtures::CONFIG_KEY, Some(fixtures::config(5, &[443, 444]).as_bytes()));
+    site.wait_outcome(ADDED_ROUTE, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
+
+    // With a read of all keys, in several pages whose last keys have to be escaped.
+    for number in 0..1_100 {
+        site.store.write(&format!("servers/odd & key #{number:04}%41"), Some(b"odd"));
+    }
+    site.store.compact();
+    site.store.write(fixtures::CONFIG_KEY, Some(fixtures::config(9, &[443]).as_bytes()));
+    site.wait_outcome(ADDED_ROUTE, CONFIG_LIMIT, |outcome| *outcome == Outcome::Refused).await;
+
+    // At the start, of one instance beside its peer and of both.
+    for instances in [0..1, 0..2] {
+        for index in instances.clone() {
+            site.restart(index);
+        }
+        for index in instances {
+            wait_ready(site.instances[index].ready).await;
+        }
+        assert!(matches!(site.request(ROUTE).await, Outcome::Answer(_)));
+    }
+    site.store.write(fixtures::CONFIG_KEY, Some(fixtures::config(12, &[443, 444]).as_bytes()));
+    site.wait_outcome(ADDED_ROUTE, CONFIG_LIMIT, |outcome| matches!(outcome, Outcome::Answer(_))).await;
+
+    // More at once than a response may hold.
+    let long = "x".repeat(1_048_576);
+    for number in 0..8 {
+        site.store.write(&fixtures::target_key(&format!("i-b{number}")), Some(long.as_bytes()));
+    }
+    site.store.write(fixtures::CONFIG_KEY, Some(fixtures::config(15, &[443]).as_bytes()));
+    site.wait_outcome(ADDED_ROUTE, CONFIG_LIMIT, |outcome| *outcome == Outcome::Refused).await;
+    assert!(matches!(site.request(ROUTE).await, Outcome::Answer(_)));
+    for instance in &mut site.instances {
+        assert!(instance.child.try_wait().unwrap().is_none(), "an instance has ended");
+    }
+}
+
 #[tokio::test]
 async fn graceful_stop() {
     let mut site = Site::start(64).await;
