--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -84,6 +84,15 @@
     pub warmed_up_at: Time,
 }
 
+impl Target {
+    /// Order of targets by their start, the oldest first and those of unknown age last. The
+    /// name makes it the same on every instance.
+    fn seniority(&self) -> (bool, u64, &str) {
+        let entry = &self.record.entry;
+        (entry.born_ms == 0, entry.born_ms, &entry.name)
+    }
+}
+
 /// Where new flows of an address are placed.
 #[derive(Clone, Debug)]
 pub struct RouteEntry {
@@ -324,14 +333,10 @@
             }
         };
         self.by_name.insert(record.entry.name.clone(), index);
-        // If two names have the same token, the lower name keeps it on every instance.
-        let holder = self.by_token.get(&token).and_then(|other| self.target(*other));
-        if holder.is_none_or(|other| other.record.entry.name > record.entry.name) {
-            self.by_token.insert(token, index);
-        }
         let service = self.service_index(&record.entry.service);
         let warmed_up_at = now + record.entry.warm_up_ms;
         self.targets[index] = Some(Target { record, token, service, since: now, warmed_up_at });
+        self.assign_token(token);
         self.rebuild_lists();
         Change::Restarted(index)
     }
@@ -347,9 +352,14 @@
         if record.state <= State::Leaving {
             target.warmed_up_at = now + record.entry.warm_up_ms;
         }
-        let is_relisted = target.service != service || target.record.state != record.state;
+        let is_restarted = target.record.entry.born_ms != record.entry.born_ms;
+        let is_relisted = is_restarted || target.service != service || target.record.state != record.state;
+        let token = target.token;
         target.service = service;
         target.record = record;
+        if is_restarted {
+            self.assign_token(token);
+        }
         if is_relisted {
             self.rebuild_lists();
         }
@@ -389,6 +399,7 @@
 
     /// Removes targets that have been gone for longer than a flow may live.
     pub fn forget(&mut self, now: Time, max_flow_lifetime_ms: u64) {
+        let mut is_changed = false;
         for index in 0..self.targets.len() {
             let Some(target) = &self.targets[index] else {
                 continue;
@@ -397,12 +408,28 @@
                 continue;
             }
             self.forgotten_revision = self.forgotten_revision.max(target.record.revision);
-            if self.by_token.get(&target.token) == Some(&index) {
-                self.by_token.remove(&target.token);
-            }
+            let token = target.token;
             self.by_name.remove(&target.record.entry.name);
             self.targets[index] = None;
+            self.assign_token(token);
+            is_changed = true;
         }
+        if is_changed {
+            self.rebuild_lists();
+        }
+    }
+
+    /// Gives a token to the oldest of the targets that have it, as that one may have open
+    /// flows.
+    fn assign_token(&mut self, token: Token) {
+        let targets = self.targets.iter().enumerate();
+        let named = targets.filter_map(|(index, target)| Some((index, target.as_ref()?)));
+        let sharing = named.filter(|(_, target)| target.token == token);
+        let oldest = sharing.min_by_key(|(_, target)| target.seniority()).map(|(index, _)| index);
+        match oldest {
+            Some(index) => self.by_token.insert(token, index),
+            None => self.by_token.remove(&token),
+        };
     }
 
     fn service_index(&mut self, name: &Arc<str>) -> usize {
