Pass on the ends of targets that an instance did not know

An instance kept a target that had ended, after it had lost a part of an update and asked a peer for what it lacked. Cause: the peer had dropped the record of the end, as it did not know the target, and had skipped the target's start by a list of all.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -123,6 +123,8 @@
 pub struct Catalog {
     /// Store revision up to which the targets are complete.
     target_revision: u64,
+    /// Latest revision of a record, which may come after a gap.
+    seen_revision: u64,
     plan: Plan,
     /// Store revision up to which no plan later than `plan` was written.
     plan_revision: u64,
@@ -153,6 +155,12 @@
         self.target_revision
     }
 
+    /// Latest revision of a record or up to which the targets are complete. Beyond a gap,
+    /// some records up to it are known.
+    pub fn seen_revision(&self) -> u64 {
+        self.seen_revision.max(self.target_revision)
+    }
+
     /// Marks the targets complete up to a revision.
     pub fn advance_targets(&mut self, revision: u64) {
         self.target_revision = self.target_revision.max(revision);
@@ -253,10 +261,11 @@
     }
 
     /// Whether [`records_after`](Self::records_after) a revision are all that a catalog lacks
-    /// that is complete up to it. Not if targets that it knows ended too long ago, or within
-    /// skipped revisions.
-    pub fn is_complete_after(&self, revision: u64) -> bool {
-        let is_skipped = self.skipped.iter().any(|skipped| skipped.contains(&revision));
+    /// that is complete up to it, and has seen some records up to another one. Not if targets
+    /// that it knows ended too long ago, or within skipped revisions.
+    pub fn is_complete_after(&self, revision: u64, seen_revision: u64) -> bool {
+        let is_skipped =
+            self.skipped.iter().any(|skipped| skipped.start <= seen_revision && revision < skipped.end);
         revision > 0 && revision >= self.forgotten_revision && !is_skipped
     }
 
@@ -293,6 +302,7 @@
         if record.entry.check().is_err() {
             return Change::None;
         }
+        self.seen_revision = self.seen_revision.max(record.revision);
         let known = self.by_name.get(&record.entry.name).copied();
         let Some(index) = known else {
             // The catalog is complete up to here, so the target has ended since.
@@ -321,9 +331,6 @@
     }
 
     fn insert(&mut self, record: Record, now: Time) -> Change {
-        if record.state == State::Gone {
-            return Change::None;
-        }
         let token = Token::of(&record.entry.name);
         let index = match self.targets.iter().position(Option::is_none) {
             Some(index) => index,
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -134,7 +134,11 @@
 
     /// What this instance asks a peer's state for.
     pub fn known_state(&self) -> KnownState {
-        KnownState { revision: self.catalog.target_revision(), plan_version: self.catalog.plan().version }
+        KnownState {
+            revision: self.catalog.target_revision(),
+            seen_revision: self.catalog.seen_revision(),
+            plan_version: self.catalog.plan().version,
+        }
     }
 
     /// State of this instance without what a peer has already: complete for a peer that has
@@ -142,7 +146,7 @@
     pub fn snapshot(&self, known: &KnownState) -> Snapshot {
         let plan = self.catalog.plan();
         let revision = self.catalog.target_revision();
-        let is_complete = !self.catalog.is_complete_after(known.revision);
+        let is_complete = !self.catalog.is_complete_after(known.revision, known.seen_revision);
         let (records, members) = match is_complete {
             false => (self.catalog.records_after(known.revision).cloned().collect(), Vec::new()),
             true => (
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -174,6 +174,8 @@
 pub struct KnownState {
     /// Store revision up to which its targets are complete; zero if it has none.
     pub revision: u64,
+    /// Latest store revision of which it has a record.
+    pub seen_revision: u64,
     /// Version of its plan; zero if it has none.
     pub plan_version: u64,
 }
