--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -296,7 +296,8 @@
 
     /// Applies a record if it is later than the known one of its target.
     ///
-    /// An invalid entry is ignored, and the last valid one stays. So is an unknown target's record of a revision up to which the targets are complete.
+    /// An invalid entry is ignored, and the last valid one stays. An unknown target's record
+    /// of a revision up to which the targets are complete is ignored too.
     pub fn apply(&mut self, record: Record, now: Time) -> Change {
         // Peers send only entries that they have accepted, so there is nothing to report.
         if record.entry.check().is_err() {
