Ignore late records of a target also if an earlier end of it is known

A target that had ended, started again and ended again came back at an instance that had read all keys: it knew the first end, and a late update held the second start. late_restart fails before.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -296,8 +296,8 @@
 
     /// Applies a record if it is later than the known one of its target.
     ///
-    /// An invalid entry is ignored, and the last valid one stays. An unknown target's record
-    /// of a revision up to which the targets are complete is ignored too.
+    /// An invalid entry is ignored, and the last valid one stays. So is a record that is missing
+    /// here at a revision up to which the targets are complete, as its target has ended since.
     pub fn apply(&mut self, record: Record, now: Time) -> Change {
         // Peers send only entries that they have accepted, so there is nothing to report.
         if record.entry.check().is_err() {
@@ -305,18 +305,20 @@
         }
         self.seen_revision = self.seen_revision.max(record.revision);
         let known = self.by_name.get(&record.entry.name).copied();
+        let is_complete = self.target_revision > 0 && record.revision <= self.target_revision;
         let Some(index) = known else {
-            // The catalog is complete up to here, so the target has ended since.
-            if self.target_revision > 0 && record.revision <= self.target_revision {
-                return Change::None;
-            }
-            return self.insert(record, now);
+            // The target has ended since, or it would be known.
+            return if is_complete { Change::None } else { self.insert(record, now) };
         };
         let target = self.targets[index].as_ref().expect("a named target is in the table");
         let (revision, state) = (target.record.revision, target.record.state);
         if (record.revision, record.state) <= (revision, state) {
             return Change::None;
         }
+        // The target started again after the known record, and has ended since.
+        if is_complete && record.revision > revision {
+            return Change::None;
+        }
         let is_new_incarnation = record.entry.born_ms != target.record.entry.born_ms
             || record.entry.address != target.record.entry.address
             || record.entry.service != target.record.entry.service;
--- a/tests/relay_completeness.rs
+++ b/tests/relay_completeness.rs
@@ -438,6 +438,28 @@
     assert!(records.all(|record| record.state == State::Gone), "the target has ended");
 }
 
+// Guards against a target that gets flows for good, as an update from between its first end and
+// a read of all keys arrived late. Its record is later than the known end.
+#[test]
+fn late_restart() {
+    let mut fleet = Fleet::new();
+    fleet.step(Step::WritePlan);
+    fleet.step(Step::WriteTarget { index: 0, state: Some(State::Ready) });
+    fleet.read_all(0, 0);
+    fleet.read_all(2, 0);
+    fleet.step(Step::WriteTarget { index: 0, state: None });
+    fleet.watch(0);
+    fleet.step(Step::WriteTarget { index: 0, state: Some(State::Ready) });
+    fleet.sent.clear();
+    fleet.watch(2);
+    fleet.step(Step::WriteTarget { index: 0, state: None });
+    fleet.read_all(0, 0);
+    let late = fleet.sent.iter().find(|sent| sent.to() == 0).cloned().unwrap();
+    fleet.deliver(late);
+    let mut records = fleet.instances[0].catalog().records();
+    assert!(records.all(|record| record.state == State::Gone), "the target has ended");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
 
