--- a/crates/ragwortlb-standin/src/packets/fixtures.rs
+++ b/crates/ragwortlb-standin/src/packets/fixtures.rs
@@ -56,6 +56,25 @@
     )
 }
 
+/// Names and entries of other programs that name no target to use: deeply nested values,
+/// numbers and ports out of range, a long name, and a key with the number zero.
+pub fn odd_target_entries(address: SocketAddrV4) -> Vec<(&'static str, String)> {
+    let nested = "[".repeat(100_000);
+    let valid = target_entry(1, address);
+    let with_slots = |slots: &str| valid.replace("\"slots\":3", &format!("\"slots\":{slots}"));
+    let with_port = |port: u32| valid.replace(&address.to_string(), &format!("{}:{port}", address.ip()));
+    vec![
+        ("i-a1", nested.clone()),
+        ("i-a2", with_slots(&nested)),
+        ("i-a3", with_slots("99999999999999999999999")),
+        ("i-a4", with_slots("1e400")),
+        ("i-a5", with_port(65_536)),
+        ("i-a6", with_port(0)),
+        ("i-a7", valid.replace("\"booking\"", &format!("\"{}\"", "s".repeat(200_000)))),
+        ("monitor-0", valid),
+    ]
+}
+
 /// Configuration with one route to `booking` for each port of 198.18.0.1.
 pub fn config(version: u64, ports: &[u16]) -> String {
     let route = |port: &u16| {
--- a/crates/ragwortlbd/tests/packet_path.rs
+++ b/crates/ragwortlbd/tests/packet_path.rs
@@ -215,19 +215,7 @@
 #[tokio::test]
 async fn odd_entries() {
     let mut site = Site::start(65).await;
-    let nested = "[".repeat(100_000);
-    let address = site.target_address;
-    let valid = fixtures::target_entry(1, address);
-    let odd = [
-        ("i-a1", nested.clone()),
-        ("i-a2", valid.replace("\"slots\":3", &format!("\"slots\":{nested}"))),
-        ("i-a3", valid.replace("\"slots\":3", "\"slots\":99999999999999999999999")),
-        ("i-a4", valid.replace("\"slots\":3", "\"slots\":1e400")),
-        ("i-a5", valid.replace(&address.to_string(), "127.65.0.20:65536")),
-        ("i-a6", valid.replace(&address.to_string(), "127.65.0.20:0")),
-        ("i-a7", valid.replace("\"booking\"", &format!("\"{}\"", "s".repeat(200_000)))),
-        ("monitor-0", valid.clone()),
-    ];
+    let odd = fixtures::odd_target_entries(site.target_address);
     // With a watch.
     for (name, value) in &odd {
         assert!(odd.iter().filter(|(_, other)| other == value).count() == 1, "{name} is not changed");
@@ -238,7 +226,8 @@
 
     // With a read of all keys, in several pages whose last keys have to be escaped.
     for number in 0..1_100 {
-        site.store.write(&format!("servers/odd & key #{number:04}%41"), Some(b"odd"));
+        let key = fixtures::target_key(&format!("odd & key #{number:04}%41"));
+        site.store.write(&key, Some(b"odd"));
     }
     site.store.compact();
     site.store.write(fixtures::CONFIG_KEY, Some(fixtures::config(9, &[443]).as_bytes()));
