--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -34,6 +34,7 @@
         version: 1,
         routes: vec![Route { address: address(1), shares, class }],
         idle_ms: 15_000,
+        ..Plan::default()
     });
     for index in 0..targets {
         let entry = Entry {
@@ -48,9 +49,9 @@
             warm_up_ms: 0,
             heartbeat: 1,
         };
-        forwarder.apply(Record { entry, state: State::Ready, revision: 1 }, Time(0));
+        forwarder.apply(Record { entry, state: State::Ready, revision: 1.into() }, Time(0));
     }
-    forwarder.advance(1, Time(0));
+    forwarder.advance(1.into(), Time(0));
     forwarder
 }
 
@@ -135,8 +136,9 @@
 #[divan::bench(args = FLEET_SIZES)]
 fn role_checks(bencher: Bencher, instances: usize) {
     let forwarder = fleet_member(instances);
+    let plan = forwarder.catalog().plan().id();
     bencher.bench_local(|| {
         let now = Time(3_000);
-        (forwarder.takeover_delay_ms(now), forwarder.peers().has_later_plan(1, now))
+        (forwarder.takeover_delay_ms(now), forwarder.peers().has_later_plan(plan, now))
     });
 }
--- a/crates/ragwortlbd/src/relay/decisions.rs
+++ b/crates/ragwortlbd/src/relay/decisions.rs
@@ -33,7 +33,7 @@
         target:% = placement.target, token = destination.token.0,
         own = placement.own, running = placement.running, flows = placement.flows, slots = placement.slots,
         strikes = placement.strikes,
-        mates, revision, plan, news_age_ms;
+        mates, revision:%, plan, news_age_ms;
         "E724 flow placed on a target"
     );
 }
@@ -48,7 +48,7 @@
     let copy = if let Kind::Open { copy } = packet.kind { copy } else { 0 };
     log::info!(
         client:% = packet.client, address:% = packet.address, copy, waited_ms,
-        reason:%, mates, cell = cell.0, cells = cell.1, revision, plan, news_age_ms;
+        reason:%, mates, cell = cell.0, cells = cell.1, revision:%, plan, news_age_ms;
         "E721 flow refused"
     );
 }
--- a/crates/ragwortlbd/src/relay/fetch.rs
+++ b/crates/ragwortlbd/src/relay/fetch.rs
@@ -137,7 +137,7 @@
 /// Returns whether an update was missed or a peer has a later plan.
 fn is_outdated(shared: &Shared) -> bool {
     let forwarder = shared.forwarder.borrow();
-    forwarder.is_behind() || forwarder.peers().has_later_plan(forwarder.catalog().plan().version, now())
+    forwarder.is_behind() || forwarder.peers().has_later_plan(forwarder.catalog().plan().id(), now())
 }
 
 /// Random peer that is ahead; random, so that not all instances load the same one.
@@ -145,7 +145,7 @@
     let forwarder = shared.forwarder.borrow();
     let catalog = forwarder.catalog();
     let zone = &shared.settings.zone;
-    let peers = forwarder.peers().ahead(zone, catalog.target_revision(), catalog.plan().version, now());
+    let peers = forwarder.peers().ahead(zone, catalog.target_revision(), catalog.plan().id(), now());
     let index = rand::random_range(0..peers.len().max(1));
     peers.get(index).map(|peer| *peer.address.ip())
 }
@@ -154,11 +154,12 @@
     let known = shared.forwarder.borrow().known_state();
     match read(peer, shared.settings.snapshot_port, &known).await {
         // A peer that has just started has no state yet.
-        Ok(snapshot) if snapshot.revision == 0 || known.plan_version.max(snapshot.plan.version) == 0 => {}
+        Ok(snapshot)
+            if !snapshot.revision.is_some() || known.plan.version.max(snapshot.plan.version) == 0 => {}
         Ok(snapshot) => {
             let (plan, revision) = (snapshot.plan.version, snapshot.revision);
             let records = snapshot.records.len();
-            log::info!(peer:%, plan, revision, records; "E752 applied a peer's snapshot");
+            log::info!(peer:%, plan, revision:%, records; "E752 applied a peer's snapshot");
             shared.forwarder.borrow_mut().apply_snapshot(snapshot, now());
             shared.state_changed.notify_one();
         }
--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -7,11 +7,11 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use eyre::Result;
+use eyre::{Result, eyre};
 use ragwortlb::{
     relay::{
         catalog::{self, Record, State},
-        forwarder::{self, Observation},
+        forwarder::{self, EvacuationChange, Observation},
         gossip,
     },
     time::Time,
@@ -160,6 +160,11 @@
             store.has_full_read = false;
             read_all(shared, client, store).await?;
         }
+        WatchResult::Restored { era } => {
+            log::warn!(era; "E748 the store has returned from a backup; reading all keys");
+            store.has_full_read = false;
+            read_all(shared, client, store).await?;
+        }
         WatchResult::TooLong => {
             log::warn!("E747 the changes in the store are too long for one response; reading all keys");
             store.has_full_read = false;
@@ -173,6 +178,15 @@
 async fn read_all(shared: &Shared, client: &mut Client, store: &mut StoreState) -> Result<()> {
     let freshness = if store.may_read_stale { Freshness::Stale } else { Freshness::Current };
     let reading = client.read(freshness).await?;
+    let known = shared.forwarder.borrow().catalog().target_revision();
+    if reading.revision.era < known.era {
+        return Err(eyre!("a response of era {} after era {}", reading.revision.era, known.era));
+    }
+    // Targets and instances have to register again after a return from a backup, as after an
+    // outage.
+    if reading.revision.era > known.era && known.is_some() {
+        store.recovered_at = now();
+    }
     apply_full_read(shared, store, reading);
     store.has_full_read = true;
     store.may_read_stale = false;
@@ -197,45 +211,59 @@
         reading.revision,
         store.is_store_unstable(now),
     );
-    log::info!(targets = present.len(), revision = reading.revision; "E745 read all keys of the store");
+    let evacuated: Vec<Arc<str>> = reading
+        .events
+        .iter()
+        .filter_map(|revised| match &revised.event {
+            Event::Evacuation { zone, .. } => Some(zone.clone()),
+            _ => None,
+        })
+        .collect();
+    let ended = shared.forwarder.borrow().catalog().evacuations().unlisted(&evacuated, reading.revision);
+    log::info!(targets = present.len(), revision:% = reading.revision; "E745 read all keys of the store");
     let is_reader = shared.forwarder.borrow().is_reader(now);
     let before = shared.forwarder.borrow().catalog().target_revision();
-    let unlisted = unlisted.into_iter().map(Observation::Record).collect();
-    apply_changes(shared, store, reading, unlisted, is_reader);
+    let removed = forwarder::Reading {
+        observations: unlisted.into_iter().map(Observation::Record).collect(),
+        evacuations: ended.into_iter().map(EvacuationChange::from).collect(),
+        revision: reading.revision,
+        ..forwarder::Reading::default()
+    };
+    apply_changes(shared, store, reading, removed, is_reader);
     shared.forwarder.borrow_mut().record_skipped(before);
 }
 
 /// Applies the result of a watch and always sends it to peers. If this instance is not
 /// the store reader, it watches because updates failed to arrive, so peers lack them too.
 fn apply_watched(shared: &Shared, store: &StoreState, reading: Reading) {
-    apply_changes(shared, store, reading, Vec::new(), true);
+    let result = forwarder::Reading { revision: reading.revision, ..forwarder::Reading::default() };
+    apply_changes(shared, store, reading, result, true);
 }
 
-/// Applies `observations` and the events of a reading. Sends the changes to peers if
+/// Applies `result`, completed by the events of a reading. Sends the changes to peers if
 /// `is_announced`, except for the first reading, which is not a change.
 fn apply_changes(
     shared: &Shared,
     store: &StoreState,
     reading: Reading,
-    observations: Vec<Observation>,
+    mut result: forwarder::Reading,
     is_announced: bool,
 ) {
     let now = now();
     let store_unstable = store.is_store_unstable(now);
-    let mut result = forwarder::Reading { plan: None, observations, revision: reading.revision };
     for revised in reading.events {
         collect(shared, revised, store_unstable, now, &mut result);
     }
     let mut forwarder = shared.forwarder.borrow_mut();
-    let former_plan = forwarder.catalog().plan().version;
+    let former_plan = forwarder.catalog().plan().id();
     let update = forwarder.apply_reading(result, now);
     let plan = forwarder.catalog().plan();
-    if plan.version > former_plan {
-        log::info!(plan = plan.version, routes = plan.routes.len(), revision = update.revision; "E744 plan in effect");
+    if plan.id() != former_plan {
+        log::info!(plan = plan.version, routes = plan.routes.len(), revision:% = update.revision; "E744 plan in effect");
     }
     drop(forwarder);
     shared.state_changed.notify_one();
-    if is_announced && update.after > 0 {
+    if is_announced && update.after.is_some() {
         send_update(shared, gossip::split(update));
     }
 }
@@ -259,17 +287,19 @@
         }
         Event::Malformed { key, target, reason } => {
             if shared.malformed_values.accept() {
-                log::warn!(key:%, revision, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
+                log::warn!(key:%, revision:%, reason:%; "E743 value in the store cannot be parsed; if it is a target's, the target is removed");
             }
             let ended = target.map(|name| Observation::Ended { name, revision, store_unstable: false });
             reading.observations.extend(ended);
         }
         Event::Plan(plan) => {
-            let is_later = reading.plan.as_ref().is_none_or(|former| plan.version > former.version);
-            if is_later {
+            if reading.plan.as_ref().is_none_or(|former| plan.id().replaces(former.id())) {
                 reading.plan = Some(plan);
             }
         }
+        Event::Evacuation { zone, is_active } => {
+            reading.evacuations.push(EvacuationChange { zone, is_active, revision });
+        }
         Event::Instance { name, zone, ip } if name != shared.settings.name => {
             let address = shared.gossip_address(ip);
             shared.forwarder.borrow_mut().peers_mut().discover(&name, &zone, address, now);
@@ -291,8 +321,7 @@
     for record in &records {
         forwarder.apply(record.clone(), now);
     }
-    let revision = forwarder.catalog().target_revision();
-    let plan_mark = forwarder.catalog().plan_mark();
+    let update = forwarder.update(forwarder.catalog().target_revision(), records);
     drop(forwarder);
-    send_update(shared, gossip::split(gossip::Update { after: revision, revision, plan_mark, records }));
+    send_update(shared, gossip::split(update));
 }
--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -162,7 +162,7 @@
         }
         Verdict::Refuse(refusal) => {
             match refusal {
-                Refusal::WaitTooLong { .. } | Refusal::BudgetExhausted => {
+                Refusal::WaitTooLong { .. } | Refusal::BudgetExhausted | Refusal::Evacuated => {
                     increment(&shared.counts.refused_full)
                 }
                 Refusal::RouteRemoved => increment(&shared.counts.refused_dropped),
--- a/crates/ragwortlbd/src/relay/register.rs
+++ b/crates/ragwortlbd/src/relay/register.rs
@@ -7,7 +7,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use ragwortlb::Error;
-use ragwortlb_platform::store::{Client, MAX_REMOVALS};
+use ragwortlb_platform::store::{Client, Freshness, MAX_REMOVALS};
 
 use super::shared::{Shared, increment, now};
 
@@ -21,6 +21,10 @@
 /// Longest delay after a failed call.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
 
+/// Longest delay until an instance checks its entry after a return of the store from a backup.
+/// All instances learn of that at the same time.
+const MAX_RESTORE_DELAY: Duration = Duration::from_secs(2);
+
 /// Time without a message after which the entry of an instance is removed, in milliseconds:
 /// longer than an outage of a zone or a replacement of the instance.
 const MAX_SILENCE_MS: u64 = 90_000;
@@ -29,9 +33,11 @@
 pub(super) async fn run(shared: Rc<Shared>) {
     let mut client = Client::new(shared.settings.store_address);
     let mut retry_delay = MIN_RETRY_DELAY;
+    let mut freshness = Freshness::Stale;
     loop {
-        let delay = match update_entries(&shared, &mut client).await {
+        let delay = match update_entries(&shared, &mut client, freshness).await {
             Ok(()) => {
+                freshness = Freshness::Stale;
                 retry_delay = MIN_RETRY_DELAY;
                 CHECK_INTERVAL
             }
@@ -43,15 +49,22 @@
                 delay
             }
         };
-        tokio::time::sleep(delay).await;
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = shared.era_began.notified() => {
+                // A stale read may still show the entry that the backup has lost.
+                freshness = Freshness::Current;
+                tokio::time::sleep(MAX_RESTORE_DELAY.mul_f64(rand::random())).await;
+            }
+        }
     }
 }
 
 /// Registers this instance if it is not, and removes entries of instances that have ended.
-async fn update_entries(shared: &Shared, client: &mut Client) -> Result<(), Error> {
+async fn update_entries(shared: &Shared, client: &mut Client, freshness: Freshness) -> Result<(), Error> {
     let settings = &shared.settings;
     increment(&shared.counts.store_calls);
-    if !client.is_registered(&settings.name, &settings.zone, settings.ip).await? {
+    if !client.is_registered(&settings.name, &settings.zone, settings.ip, freshness).await? {
         increment(&shared.counts.store_calls);
         client.register(&settings.name, &settings.zone, settings.ip).await?;
     }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -107,6 +107,9 @@
     pub state_changed: Notify,
     /// Notified when a packet was deferred or queued.
     pub packet_deferred: Notify,
+    /// Notified when the store has returned from a backup, which may have lost the entry of
+    /// this instance.
+    pub era_began: Notify,
 }
 
 impl Shared {
@@ -117,6 +120,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             seed: rand::random(),
+            warm_up: settings.warm_up,
             max_flow_lifetime_ms: settings.max_flow_lifetime_ms,
             ..forwarder::Settings::default()
         });
@@ -137,6 +141,7 @@
             malformed_values: LineLimiter::default(),
             state_changed: Notify::new(),
             packet_deferred: Notify::new(),
+            era_began: Notify::new(),
         }))
     }
 
@@ -166,7 +171,23 @@
                     log::warn!(gap_ms; "E711 the process was paused; counts of open flows start again at zero")
                 }
                 forwarder::Notice::TargetChanged { target, state, revision } => {
-                    log::info!(target:%, state:?, revision; "E712 the state of a target changed");
+                    log::info!(target:%, state:?, revision:%; "E712 the state of a target changed");
+                }
+                forwarder::Notice::EvacuationChanged { zone, is_active: true, revision } => {
+                    log::warn!(zone:%, revision:%; "E713 zone evacuated; its targets get no new flows");
+                }
+                forwarder::Notice::EvacuationChanged { zone, is_active: false, revision } => {
+                    log::warn!(zone:%, revision:%; "E714 evacuation of a zone ended; its targets get new flows");
+                }
+                forwarder::Notice::ServiceEvacuated { service, is_evacuated: true } => {
+                    log::error!(service:%; "E715 all targets of a service are in evacuated zones; its flows are refused");
+                }
+                forwarder::Notice::ServiceEvacuated { service, is_evacuated: false } => {
+                    log::info!(service:%; "E715 a service has targets outside evacuated zones again");
+                }
+                forwarder::Notice::EraBegan { era, revision } => {
+                    log::warn!(era, revision:%; "E716 the store has returned from a backup; what it lost stays in effect");
+                    self.era_began.notify_one();
                 }
             }
         }
@@ -263,13 +284,19 @@
         ]
     }
 
-    fn gauges(&self) -> [Metric; 5] {
+    fn gauges(&self) -> [Metric; 7] {
         let forwarder = self.forwarder.borrow();
         [
             (
                 "revision",
                 "Revision of the store up to which this instance is complete",
-                forwarder.catalog().revision(),
+                forwarder.catalog().revision().number,
+            ),
+            ("era", "Era of the store, zero if it names none", forwarder.catalog().revision().era.into()),
+            (
+                "evacuated_zones",
+                "Availability zones whose targets get no new flows",
+                forwarder.catalog().evacuations().iter().filter(|known| known.is_active).count() as u64,
             ),
             ("plan_version", "Version of the plan in effect", forwarder.catalog().plan().version),
             ("open_flows", "Flows that this instance has seen recently", forwarder.open_flows() as u64),
--- a/src/hash.rs
+++ b/src/hash.rs
@@ -7,6 +7,11 @@
     xxh3_64_with_seed(text.as_bytes(), 0)
 }
 
+/// Hash of some bytes.
+pub(crate) fn bytes(bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, 0)
+}
+
 /// Hash of two numbers, in order.
 pub(crate) fn pair(a: u64, b: u64) -> u64 {
     let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,6 +12,7 @@
 
 | module | holds |
 |---|---|
+| [`revision`] | revisions of the store, and the eras that a restored backup begins |
 | [`catalog`] | targets and routes known to this instance, by store revision |
 | [`flows`] | flows seen by this instance, and whether they have a request at their target |
 | [`habit`] | whether the flows of a route stay open for several requests |
@@ -22,6 +23,8 @@
 | [`mix`] | recent traffic of each service by class |
 | [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
+| [`warm_up`] | limit of the requests that cold targets get from all instances |
+| [`evacuation`] | availability zones whose targets get no new flows |
 | [`outlier`] | ejection of targets that do not answer |
 | [`gossip`] | messages between instances and their encoding |
 | [`peers`] | liveness of peers, store readers, unreachable zones |
@@ -50,6 +53,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod cells;
+pub mod evacuation;
 pub mod flows;
 pub mod forwarder;
 pub mod gossip;
@@ -61,6 +65,8 @@
 pub mod peers;
 pub mod placement;
 pub mod report_interval;
+pub mod revision;
+pub mod warm_up;
 
 use std::{net::SocketAddrV4, sync::Arc};
 
@@ -220,14 +226,67 @@
     pub class: Class,
 }
 
+/// Service of a plan.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ServicePlan {
+    /// Name.
+    pub name: Arc<str>,
+    /// Time for which a target is cold after its start, in milliseconds; zero if targets are
+    /// never cold.
+    pub warm_up_ms: u64,
+    /// Requests a second that a cold target bears; zero if no limit is stated.
+    pub warm_up_per_s: f32,
+}
+
 /// Versioned set of routes that was accepted for all instances.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Plan {
     /// Version; later plans have greater ones, zero stands for no plan.
     pub version: u64,
+    /// Era of the store in which it was read.
+    pub era: u32,
+    /// Hash of its content as it was written.
+    pub digest: u32,
     /// Routes.
     pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<ServicePlan>,
     /// Idle time after which a flow may be forgotten, in milliseconds.
     pub idle_ms: u64,
 }
+
+impl Plan {
+    /// Hash of a plan's content as it was written.
+    pub fn digest(content: &[u8]) -> u32 {
+        crate::hash::bytes(content) as u32
+    }
+
+    /// Identity of the plan.
+    pub fn id(&self) -> PlanId {
+        PlanId { version: self.version, era: self.era, digest: self.digest }
+    }
+}
+
+/// Identity of a plan. The default one stands for no plan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct PlanId {
+    /// Version.
+    pub version: u64,
+    /// Era of the store in which it was read.
+    pub era: u32,
+    /// Hash of its content.
+    pub digest: u32,
+}
+
+impl PlanId {
+    /// Whether a plan replaces another one: it has a later version, or the same with other
+    /// content in a later era, as the store lost the other one and the version was given out
+    /// again. A lower version of a later era comes from a backup and replaces nothing.
+    pub fn replaces(self, other: PlanId) -> bool {
+        let is_reissued = self.version == other.version && self.digest != other.digest;
+        self.version > other.version || (is_reissued && self.era > other.era)
+    }
+}
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -5,6 +5,10 @@
 lower revision is ignored, whether it comes from the store or from a peer, so
 the catalog never goes back to an older state.
 
+If the store returns from a backup, the catalog keeps what the backup has lost. An entry
+of the new era that is not newer than the known one, by its start and heartbeat counter,
+was restored: only its revision is taken over, and a drain or end that is known stays.
+
 A target that is gone stays in the catalog for the longest duration of a flow, so
 that packets of its flows are still sent with its number. No other target accepts
 that number, so they cannot reach a wrong one.
@@ -17,19 +21,27 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddrV4,
-    ops::Range,
     sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
 
-use super::{Class, Entry, Plan, Token, cells::Cell};
+use super::{
+    Class, Entry, Plan, PlanId, Token,
+    cells::Cell,
+    evacuation::{Evacuation, Evacuations},
+    revision::Revision,
+};
 use crate::time::Time;
 
 /// Time after the store's recovery within which running targets have registered again,
 /// in milliseconds. The operators state about two seconds.
 pub const REREGISTRATION_MS: u64 = 2_300;
 
+/// Time until an instance knows what the store reader has read, in milliseconds: an interval
+/// of the reader's calls, or a snapshot of a peer after a lost update.
+const NOTIFICATION_MS: u64 = 1_500;
+
 /// Ranges of skipped revisions that are kept; older ones are merged.
 const MAX_SKIPPED: usize = 8;
 
@@ -51,10 +63,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Mark {
-    /// Version of the plan.
-    pub version: u64,
+    /// Plan.
+    pub plan: PlanId,
     /// Store revision up to which no later plan was written.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// State of one target at a store revision.
@@ -66,7 +78,7 @@
     /// State.
     pub state: State,
     /// Store revision.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Target in the catalog.
@@ -85,6 +97,19 @@
 }
 
 impl Target {
+    /// Replaces the content of a record of a later era by what is known if its entry is not
+    /// newer, as the store has then restored it from a backup.
+    fn reconcile(&self, record: Record) -> Record {
+        let age = |entry: &Entry| (entry.born_ms, entry.heartbeat);
+        let is_restored =
+            record.revision.era > self.record.revision.era && age(&record.entry) <= age(&self.record.entry);
+        if !is_restored {
+            return record;
+        }
+        let state = record.state.max(self.record.state);
+        Record { entry: self.record.entry.clone(), state, revision: record.revision }
+    }
+
     /// Order of targets by their start, the oldest first and those of unknown age last. The
     /// name makes it the same on every instance.
     fn seniority(&self) -> (bool, u64, &str) {
@@ -118,16 +143,24 @@
     Restarted(usize),
 }
 
+/// Revisions that a list of all targets has skipped: there is no record of targets that were
+/// added and ended between them.
+#[derive(Clone, Copy, Debug)]
+struct Skipped {
+    after: Revision,
+    before: Revision,
+}
+
 /// Targets and routes.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     /// Store revision up to which the targets are complete.
-    target_revision: u64,
+    target_revision: Revision,
     /// Latest revision of a record, which may come after a gap.
-    seen_revision: u64,
+    seen_revision: Revision,
     plan: Plan,
     /// Store revision up to which no plan later than `plan` was written.
-    plan_revision: u64,
+    plan_revision: Revision,
     targets: Vec<Option<Target>>,
     by_token: HashMap<Token, usize>,
     by_name: HashMap<Arc<str>, usize>,
@@ -135,61 +168,95 @@
     service_targets: Vec<Vec<usize>>,
     list_version: u64,
     /// Greatest revision of a target that was removed from the catalog.
-    forgotten_revision: u64,
-    /// Revisions that a list of all targets has skipped: there is no record of targets that
-    /// were added and ended within one of them.
-    skipped: Vec<Range<u64>>,
+    forgotten_revision: Revision,
+    skipped: Vec<Skipped>,
     routes: HashMap<SocketAddrV4, RouteEntry>,
+    evacuations: Evacuations,
+    /// Services of the plan by index; the default one for services that it does not have.
+    service_plans: Vec<WarmUpPlan>,
+}
+
+/// What the plan says of the cold targets of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WarmUpPlan {
+    /// Time for which a target is cold after its start, in milliseconds.
+    pub time_ms: u64,
+    /// Requests a second that a cold target bears; zero if no limit is stated.
+    pub per_s: f32,
 }
 
 impl Catalog {
     /// Revision up to which the catalog is complete, targets and plan alike. A reader of the
     /// store continues from here.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.target_revision.min(self.plan_revision)
     }
 
     /// Revision up to which the targets are complete. The plan may be older, as updates from
     /// peers carry no plans.
-    pub fn target_revision(&self) -> u64 {
+    pub fn target_revision(&self) -> Revision {
         self.target_revision
     }
 
     /// Latest revision of a record or up to which the targets are complete. Beyond a gap,
     /// some records up to it are known.
-    pub fn seen_revision(&self) -> u64 {
+    pub fn seen_revision(&self) -> Revision {
         self.seen_revision.max(self.target_revision)
     }
 
     /// Marks the targets complete up to a revision.
-    pub fn advance_targets(&mut self, revision: u64) {
+    pub fn advance_targets(&mut self, revision: Revision) {
         self.target_revision = self.target_revision.max(revision);
     }
 
     /// Plan in effect, and the revision up to which it is known to be the latest.
     pub fn plan_mark(&self) -> Mark {
-        Mark { version: self.plan.version, revision: self.plan_revision }
+        Mark { plan: self.plan.id(), revision: self.plan_revision }
     }
 
-    /// Marks the plan complete up to the revision of a mark, unless the plan in effect is
-    /// older than the one that the mark names.
+    /// Marks the plan complete up to the revision of a mark, unless the mark names a plan that
+    /// replaces the one in effect.
     pub fn confirm_plan(&mut self, mark: Mark) {
-        if self.plan.version >= mark.version {
+        if !mark.plan.replaces(self.plan.id()) {
             self.plan_revision = self.plan_revision.max(mark.revision);
         }
     }
 
     /// Records that a list of all targets was applied to a catalog whose targets were complete
     /// up to the revision `before`, rather than each change since.
-    pub fn record_skipped(&mut self, before: u64) {
+    pub fn record_skipped(&mut self, before: Revision) {
         if before >= self.target_revision {
             return;
         }
-        self.skipped.push(before + 1..self.target_revision);
+        self.skipped.push(Skipped { after: before, before: self.target_revision });
         if self.skipped.len() > MAX_SKIPPED {
             let oldest = self.skipped.remove(0);
-            self.skipped[0].start = oldest.start;
+            self.skipped[0].after = oldest.after;
+        }
+    }
+
+    /// Evacuated availability zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies the state of a zone's evacuation if it is later than the known one; returns
+    /// whether the zone became evacuated or ceased to be.
+    pub fn apply_evacuation(&mut self, evacuation: Evacuation) -> bool {
+        let is_changed = self.evacuations.apply(evacuation);
+        if is_changed {
+            self.list_version += 1;
         }
+        is_changed
+    }
+
+    /// Ends evacuations of earlier eras; returns their zones.
+    pub fn end_lost_evacuations(&mut self) -> Vec<Arc<str>> {
+        let ended = self.evacuations.end_lost(self.target_revision.era);
+        if !ended.is_empty() {
+            self.list_version += 1;
+        }
+        ended
     }
 
     /// Plan in effect.
@@ -220,7 +287,7 @@
     /// Indices of a service's targets that a cell uses: its share of those that get new
     /// flows, in the order of their tokens.
     pub fn targets_in_cell(&self, service: usize, cell: Cell) -> Vec<usize> {
-        let takes_new = |target: &&Target| matches!(target.record.state, State::Ready | State::Missing);
+        let takes_new = |target: &&Target| self.takes_new(target);
         let token = |index: &usize| self.target(*index).filter(takes_new).map(|target| target.token);
         let mut ranked: Vec<_> =
             self.service_targets(service).iter().filter_map(|index| Some((token(index)?, *index))).collect();
@@ -229,6 +296,12 @@
         ranked[target_range].iter().map(|(_, index)| *index).collect()
     }
 
+    /// Whether a target gets new flows.
+    pub fn takes_new(&self, target: &Target) -> bool {
+        matches!(target.record.state, State::Ready | State::Missing)
+            && !self.evacuations.contains(&target.record.entry.zone)
+    }
+
     /// Number of changes to the lists of targets, to detect one.
     pub fn list_version(&self) -> u64 {
         self.list_version
@@ -239,6 +312,11 @@
         &self.services[index]
     }
 
+    /// What the plan says of the cold targets of a service.
+    pub fn warm_up(&self, service: usize) -> WarmUpPlan {
+        self.service_plans.get(service).copied().unwrap_or_default()
+    }
+
     /// Number of services seen so far.
     pub fn services(&self) -> usize {
         self.services.len()
@@ -256,22 +334,22 @@
 
     /// Records that a peer whose catalog is complete up to a revision may lack. A missing
     /// target is gone later at the same revision, so all of these are included.
-    pub fn records_after(&self, revision: u64) -> impl Iterator<Item = &Record> {
+    pub fn records_after(&self, revision: Revision) -> impl Iterator<Item = &Record> {
         self.records().filter(move |record| record.revision > revision || record.state >= State::Missing)
     }
 
     /// Whether [`records_after`](Self::records_after) a revision are all that a catalog lacks
     /// that is complete up to it, and has seen some records up to another one. Not if targets
     /// that it knows ended too long ago, or within skipped revisions.
-    pub fn is_complete_after(&self, revision: u64, seen_revision: u64) -> bool {
+    pub fn is_complete_after(&self, revision: Revision, seen_revision: Revision) -> bool {
         let is_skipped =
-            self.skipped.iter().any(|skipped| skipped.start <= seen_revision && revision < skipped.end);
-        revision > 0 && revision >= self.forgotten_revision && !is_skipped
+            self.skipped.iter().any(|skipped| skipped.after < seen_revision && revision < skipped.before);
+        revision.is_some() && revision >= self.forgotten_revision && !is_skipped
     }
 
-    /// Adopts a plan if it is later than the one in effect; returns whether it was.
+    /// Adopts a plan if it replaces the one in effect; returns whether it did.
     pub fn adopt(&mut self, plan: Plan) -> bool {
-        if plan.version <= self.plan.version {
+        if !plan.id().replaces(self.plan.id()) {
             return false;
         }
         for route_entry in self.routes.values_mut() {
@@ -290,6 +368,13 @@
             }
             self.routes.insert(route.address, RouteEntry { shares, class: route.class, is_active: true });
         }
+        self.service_plans.clear();
+        for service in &plan.services {
+            let index = self.service_index(&service.name);
+            self.service_plans.resize(self.services.len(), WarmUpPlan::default());
+            self.service_plans[index] =
+                WarmUpPlan { time_ms: service.warm_up_ms, per_s: service.warm_up_per_s };
+        }
         self.plan = plan;
         true
     }
@@ -305,7 +390,7 @@
         }
         self.seen_revision = self.seen_revision.max(record.revision);
         let known = self.by_name.get(&record.entry.name).copied();
-        let is_complete = self.target_revision > 0 && record.revision <= self.target_revision;
+        let is_complete = self.target_revision.is_some() && record.revision <= self.target_revision;
         let Some(index) = known else {
             // The target has ended since, or it would be known.
             return if is_complete { Change::None } else { self.insert(record, now) };
@@ -319,6 +404,7 @@
         if is_complete && record.revision > revision {
             return Change::None;
         }
+        let record = target.reconcile(record);
         let is_new_incarnation = record.entry.born_ms != target.record.entry.born_ms
             || record.entry.address != target.record.entry.address
             || record.entry.service != target.record.entry.service;
@@ -359,7 +445,7 @@
         if target.record.state != record.state {
             target.since = now;
         }
-        if record.state <= State::Leaving {
+        if record.state <= State::Leaving && record.entry != target.record.entry {
             target.warmed_up_at = now + record.entry.warm_up_ms;
         }
         let is_restarted = target.record.entry.born_ms != record.entry.born_ms;
@@ -375,9 +461,19 @@
         }
     }
 
+    /// A record as the catalog has it, if it is of the same revision: it may know a later state
+    /// than a record that was restored from a backup.
+    pub fn reconciled(&self, record: Record) -> Record {
+        let known = self.by_name.get(&record.entry.name).and_then(|index| self.target(*index));
+        match known {
+            Some(target) if target.record.revision == record.revision => target.record.clone(),
+            _ => record,
+        }
+    }
+
     /// Records that end the targets which a complete reading at a revision does not list.
     /// They are gone, or missing if the store was unavailable.
-    pub fn unlisted(&self, listed: &[Arc<str>], revision: u64, store_unstable: bool) -> Vec<Record> {
+    pub fn unlisted(&self, listed: &[Arc<str>], revision: Revision, store_unstable: bool) -> Vec<Record> {
         let state = if store_unstable { State::Missing } else { State::Gone };
         let listed: HashSet<&Arc<str>> = listed.iter().collect();
         self.records()
@@ -389,7 +485,7 @@
 
     /// Record that ends a target by name at a revision, or marks it missing if the store
     /// was unavailable; none if the name is not known.
-    pub fn removal(&self, name: &str, revision: u64, store_unstable: bool) -> Option<Record> {
+    pub fn removal(&self, name: &str, revision: Revision, store_unstable: bool) -> Option<Record> {
         let target = self.target(*self.by_name.get(name)?)?;
         let state = if store_unstable { State::Missing } else { State::Gone };
         Some(Record { entry: target.record.entry.clone(), state, revision })
@@ -407,6 +503,28 @@
             .collect()
     }
 
+    /// Records that end the targets which have not registered again although this instance has
+    /// been told of every change since `synced_since`: those that are missing, and those of an
+    /// earlier era of the store, which began here at `era_began`.
+    pub fn overdue(&self, synced_since: Time, era_began: Time, now: Time) -> Vec<Record> {
+        let era = self.target_revision.era;
+        let is_due = |since: Time| now.since(since.max(synced_since)) >= REREGISTRATION_MS + NOTIFICATION_MS;
+        let is_overdue = |target: &&Target| match target.record.state {
+            State::Missing => is_due(target.since),
+            State::Gone => false,
+            State::Ready | State::Leaving => target.record.revision.era < era && is_due(era_began),
+        };
+        let overdue = self.targets.iter().flatten().filter(is_overdue);
+        overdue.map(|target| Record { state: State::Gone, ..target.record.clone() }).collect()
+    }
+
+    /// Whether a service has targets, but all that would get new flows are in evacuated zones.
+    pub fn is_evacuated(&self, service: usize) -> bool {
+        let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
+        let mut running = targets.filter(|target| target.record.state != State::Leaving).peekable();
+        running.peek().is_some() && running.all(|target| self.evacuations.contains(&target.record.entry.zone))
+    }
+
     /// Removes targets that have been gone for longer than a flow may live.
     pub fn forget(&mut self, now: Time, max_flow_lifetime_ms: u64) {
         let mut is_changed = false;
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -7,6 +7,7 @@
 the verdict is [`Verdict::Defer`], and the caller tries again when state arrives.
 */
 
+mod cold;
 mod opening;
 mod request;
 mod sync;
@@ -17,7 +18,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-pub use self::sync::{Observation, Reading};
+pub use self::sync::{EvacuationChange, Observation, Reading};
 pub use self::verdict::{Context, Deferral, Destination, DropReason, Notice, Placement, Refusal, Verdict};
 use super::{
     Kind, Packet, Token,
@@ -33,6 +34,7 @@
     pacing::Pacing,
     peers::Peers,
     placement::{self, Candidate},
+    warm_up::{self, WarmUp},
 };
 use crate::time::Time;
 
@@ -72,6 +74,8 @@
     pub seed: u64,
     /// Longest duration of a flow, in milliseconds.
     pub max_flow_lifetime_ms: u64,
+    /// What cold targets may get.
+    pub warm_up: warm_up::Settings,
     /// Parameters of placement.
     pub placement: placement::Settings,
 }
@@ -83,6 +87,7 @@
             zone: "zone".into(),
             seed: 1,
             max_flow_lifetime_ms: 60_000,
+            warm_up: warm_up::Settings::default(),
             placement: placement::Settings::default(),
         }
     }
@@ -112,6 +117,7 @@
     is_leaving: bool,
     mix: Mix,
     pacing: Pacing,
+    warm_up: WarmUp,
     habits: Habits,
     move_detector: MoveDetector,
     /// Flows that the fabric has moved to this instance since the last report.
@@ -128,6 +134,12 @@
     is_behind: bool,
     /// When the targets were last confirmed to be complete.
     synced_at: Time,
+    /// Since when they are confirmed without a gap.
+    synced_since: Time,
+    /// When this instance learned of the store's current era.
+    era_began: Time,
+    /// Services whose flows are refused, as all their targets are in evacuated zones.
+    evacuated_services: Vec<usize>,
     is_store_unreachable: bool,
     /// Targets of the cell, by service.
     cell_targets: Vec<Vec<usize>>,
@@ -158,6 +170,7 @@
             is_leaving: false,
             mix: Mix::default(),
             pacing: Pacing::default(),
+            warm_up: WarmUp::default(),
             habits: Habits::default(),
             move_detector: MoveDetector::default(),
             moved: Vec::new(),
@@ -167,6 +180,9 @@
             budgets: Vec::new(),
             is_behind: false,
             synced_at: Time(0),
+            synced_since: Time(0),
+            era_began: Time(0),
+            evacuated_services: Vec::new(),
             is_store_unreachable: false,
             cell_targets: Vec::new(),
             cell_targets_for: None,
@@ -210,7 +226,7 @@
 
     /// Whether this instance has the state to serve and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving && self.catalog.plan().version > 0 && self.catalog.revision() > 0
+        !self.is_leaving && self.catalog.plan().version > 0 && self.catalog.revision().is_some()
     }
 
     /// Whether this instance is the store reader of its availability zone.
@@ -269,7 +285,9 @@
         }
         let destination = destination(index, target);
         let class = route.class;
-        if self.must_wait(now, packet, index, class, arrived) {
+        if self.must_wait_for_warm_up(now, packet, index)
+            || self.must_wait(now, packet, index, class, arrived)
+        {
             let has_time = now.since(arrived) < class.timeout_ms;
             return if has_time { Verdict::Queue } else { Verdict::Drop(DropReason::RequestExpired) };
         }
@@ -279,6 +297,9 @@
 
     /// Records that a target answered a client.
     fn note_answer(&mut self, target: usize, now: Time) {
+        if self.outliers.ejects(target, now) {
+            self.suspect_restart(target, now);
+        }
         self.outliers.record_answer(target, now);
         if self.last_answer.len() <= target {
             self.last_answer.resize(target + 1, Time(0));
@@ -331,6 +352,9 @@
         self.peers.forget(now);
         self.update_zones(now);
         self.catalog.forget(now, self.settings.max_flow_lifetime_ms);
+        self.end_overdue(now);
+        self.end_lost_evacuations(now);
+        self.update_evacuated();
     }
 
     /// Updates the lists of the cell's targets if the cell or the catalog has changed.
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -83,6 +83,7 @@
         let mut avoid = None;
         if let Some(flow) = self.flows.get(key).cloned() {
             if let Some(destination) = self.previous_destination(now, &flow, service) {
+                self.record_cold(now, flow.target);
                 return Verdict::Forward(destination);
             }
             self.flows.remove(key);
@@ -99,7 +100,7 @@
     /// answered or has not had the time to, and still gets new flows.
     fn previous_destination(&self, now: Time, flow: &Flow, service: usize) -> Option<Destination> {
         let target = self.catalog.target(flow.target)?;
-        let takes_new = matches!(target.record.state, State::Ready | State::Missing);
+        let takes_new = self.catalog.takes_new(target);
         let holds = flow.activity != Activity::Opening || now.since(flow.last_active) < SAME_TARGET_MS;
         (holds && takes_new && target.service == service).then(|| destination(flow.target, target))
     }
@@ -130,6 +131,7 @@
         self.candidates = candidates;
         match choice {
             Choice::Target(index) => self.place_on(now, opening, index, is_idle),
+            Choice::NoTarget if self.note_evacuated(service) => Verdict::Refuse(Refusal::Evacuated),
             Choice::NoTarget => Verdict::Defer(Deferral::Targets),
             _ if now.since(opening.arrived) < self.queue_limit_ms(now, &demand) => Verdict::Queue,
             Choice::WithinBudget(_) => Verdict::Refuse(Refusal::BudgetExhausted),
@@ -173,6 +175,7 @@
             return Verdict::Defer(Deferral::Targets);
         };
         let destination = destination(index, target);
+        self.record_cold(now, index);
         self.insert(
             opening.key,
             Flow {
@@ -230,13 +233,38 @@
         known.max(reporting) + 1
     }
 
+    /// Returns whether all targets of a service are in evacuated zones. The first flow that is
+    /// refused for it leaves a notice.
+    fn note_evacuated(&mut self, service: usize) -> bool {
+        let is_evacuated = self.catalog.is_evacuated(service);
+        if is_evacuated && !self.evacuated_services.contains(&service) {
+            self.evacuated_services.push(service);
+            let service = self.catalog.service(service).clone();
+            self.notices.push(Notice::ServiceEvacuated { service, is_evacuated });
+        }
+        is_evacuated
+    }
+
+    /// Leaves a notice for each service whose flows are placed again.
+    pub(super) fn update_evacuated(&mut self) {
+        let catalog = &self.catalog;
+        for service in self.evacuated_services.extract_if(.., |service| !catalog.is_evacuated(*service)) {
+            let service = catalog.service(service).clone();
+            self.notices.push(Notice::ServiceEvacuated { service, is_evacuated: false });
+        }
+    }
+
     /// Target of a service that is ejected and due for a probe by this instance.
     fn probe_target(&mut self, now: Time, service: usize) -> Option<usize> {
         let instances = self.peers.cell_peers() + 1;
         let found = self.cell_targets(service).iter().copied().find(|index| {
             self.outliers.ejects(*index, now)
                 && self.outliers.may_probe(*index, instances, now)
-                && self.catalog.target(*index).is_some_and(|target| target.record.state == State::Ready)
+                && self.catalog.target(*index).is_some_and(|target| {
+                    target.record.state == State::Ready
+                        && self.catalog.takes_new(target)
+                        && self.admits_cold(now, *index, target)
+                })
         })?;
         self.outliers.record_probe(found, now);
         Some(found)
@@ -264,7 +292,8 @@
             let Some(target) = self.catalog.target(index) else {
                 continue;
             };
-            if target.record.state == State::Leaving || Some(index) == avoid {
+            let may_use = self.catalog.takes_new(target) && self.admits_cold(now, index, target);
+            if !may_use || Some(index) == avoid {
                 continue;
             }
             candidates.push(self.candidate(now, index, target, unreported_flows));
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -80,7 +80,7 @@
     /// Whether a packet with bytes of a request is the first one of it, on a flow that has a
     /// record here. The flow of another packet may have been placed by a peer just now, and
     /// its first request was admitted with it.
-    fn starts_request(&self, packet: &Packet, acked: u32) -> bool {
+    pub(super) fn starts_request(&self, packet: &Packet, acked: u32) -> bool {
         match self.flows.get(FlowKey::of(packet.client, packet.address)) {
             None => false,
             Some(flow) => match flow.activity {
@@ -169,6 +169,7 @@
         let expires = now + REQUEST_EXPIRY_MS;
         let Some(flow) = self.flows.get_mut(key) else {
             self.announce_moved(key);
+            self.record_cold(now, target);
             // Its answer may be seen by another instance.
             let (activity, valid_ms) = match self.followed_share >= MIN_FOLLOWED_SHARE {
                 true => (Activity::Running, self.moved_flow_expiry_ms()),
@@ -193,6 +194,7 @@
         let is_second = flow.is_own && flow.answers == 1;
         self.loads.remove(target, former);
         self.loads.add(target, Activity::Running);
+        self.record_cold(now, target);
         if is_second {
             self.habits.record(packet.address, true);
         }
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -7,23 +7,45 @@
     relay::{
         Plan,
         catalog::{Change, Mark, Record},
+        evacuation::{self, Evacuation},
         gossip::{self, KnownState, Load, Report, Snapshot, Update},
         load,
         peers::Peers,
+        revision::Revision,
     },
     time::Time,
 };
 
 /// What was read from the store up to a revision: the changes since an earlier one, or all
 /// keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reading {
     /// Plan, if it was read.
     pub plan: Option<Plan>,
     /// Targets, in the order in which the store returned them.
     pub observations: Vec<Observation>,
+    /// Evacuations that started or ended.
+    pub evacuations: Vec<EvacuationChange>,
     /// Store revision.
-    pub revision: u64,
+    pub revision: Revision,
+}
+
+/// What a reading says of the evacuation of an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Whether its key exists.
+    pub is_active: bool,
+    /// Store revision.
+    pub revision: Revision,
+}
+
+impl From<Evacuation> for EvacuationChange {
+    fn from(evacuation: Evacuation) -> EvacuationChange {
+        let Evacuation { zone, is_active, revision, .. } = evacuation;
+        EvacuationChange { zone, is_active, revision }
+    }
 }
 
 /// What a reading says of one target.
@@ -36,14 +58,18 @@
         /// Name of the target.
         name: Arc<str>,
         /// Store revision.
-        revision: u64,
+        revision: Revision,
         /// Whether the entry may have expired because the store was unavailable.
         store_unstable: bool,
     },
 }
 
+/// Time without a confirmation after which it is not clear that all changes are known, in
+/// milliseconds: two calls of the store reader.
+const MAX_SYNC_GAP_MS: u64 = 1_800;
+
 impl Forwarder {
-    /// Adopts a plan if it is later than the one in effect; returns whether it was.
+    /// Adopts a plan if it replaces the one in effect; returns whether it did.
     pub fn adopt(&mut self, plan: Plan) -> bool {
         self.catalog.adopt(plan)
     }
@@ -52,10 +78,14 @@
     /// already known here: those may have arrived in an update that not all peers got.
     ///
     /// The reading holds all that was written after the catalog's
-    /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys.
+    /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys. A reading of an
+    /// earlier era was answered too late and changes nothing.
     pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
-        let Reading { plan, observations, revision } = reading;
+        let Reading { plan, observations, evacuations, revision } = reading;
         let after = self.catalog.target_revision();
+        if revision.era < after.era {
+            return self.update(after, Vec::new());
+        }
         if let Some(plan) = plan {
             self.adopt(plan);
         }
@@ -71,12 +101,74 @@
             // Peers would ignore an invalid record, and it may not fit into a datagram.
             if let Some(record) = record.filter(|record| record.entry.check().is_ok()) {
                 self.apply(record.clone(), now);
-                records.push(record);
+                // Peers may lack what a restored record has lost.
+                records.push(self.catalog.reconciled(record));
             }
         }
+        for change in evacuations {
+            self.apply_evacuation_change(change, revision.era > after.era, now);
+        }
         self.advance(revision, now);
         self.confirm_after_pause();
-        Update { after, revision, plan_mark: self.catalog.plan_mark(), records }
+        self.update(after, records)
+    }
+
+    /// Update for peers that know what was read up to the revision `after`.
+    pub fn update(&self, after: Revision, records: Vec<Record>) -> Update {
+        Update {
+            after,
+            revision: self.catalog.target_revision(),
+            plan_mark: self.catalog.plan_mark(),
+            evacuations: self.catalog.evacuations().iter().cloned().collect(),
+            records,
+        }
+    }
+
+    fn apply_evacuation_change(&mut self, change: EvacuationChange, is_restored: bool, now: Time) {
+        let EvacuationChange { zone, is_active, revision } = change;
+        let evacuations = self.catalog.evacuations();
+        let evacuation = match is_active {
+            true if is_restored => Some(evacuations.listed(Evacuation::started(zone, revision))),
+            true => Some(Evacuation::started(zone, revision)),
+            false => evacuations.ended(&zone, revision),
+        };
+        if let Some(evacuation) = evacuation {
+            self.apply_evacuation(evacuation, now);
+        }
+    }
+
+    /// Applies the state of a zone's evacuation if it is later than the known one.
+    fn apply_evacuation(&mut self, evacuation: Evacuation, now: Time) {
+        let Evacuation { zone, is_active, revision, .. } = evacuation.clone();
+        if self.catalog.apply_evacuation(evacuation) {
+            if !is_active {
+                self.suspect_zone(&zone, now);
+            }
+            self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
+        }
+    }
+
+    /// Ends evacuations whose keys were lost with a backup and not written again.
+    pub(super) fn end_lost_evacuations(&mut self, now: Time) {
+        if now.since(self.era_began) < evacuation::REWRITE_MS {
+            return;
+        }
+        let revision = self.catalog.target_revision();
+        for zone in self.catalog.end_lost_evacuations() {
+            self.suspect_zone(&zone, now);
+            self.notices.push(Notice::EvacuationChanged { zone, is_active: false, revision });
+        }
+    }
+
+    /// Ends targets that have not registered again. The store reader tells its peers of them
+    /// once; an instance that misses that must not keep them for good.
+    pub(super) fn end_overdue(&mut self, now: Time) {
+        if now.since(self.synced_at) >= MAX_SYNC_GAP_MS {
+            return;
+        }
+        for record in self.catalog.overdue(self.synced_since, self.era_began, now) {
+            self.apply(record, now);
+        }
     }
 
     /// Applies a record if it is later than the known one.
@@ -88,10 +180,11 @@
             Change::Restarted(index) => {
                 self.loads.reset(index);
                 self.outliers.reset(index);
+                self.start_cold(now, index);
             }
         }
         // The first reading has its own log line instead of one for each target.
-        if self.catalog.revision() > 0 {
+        if self.catalog.revision().is_some() {
             self.notices.push(Notice::TargetChanged { target: name, state, revision });
         }
     }
@@ -103,6 +196,13 @@
     /// advance past records that its own zone has not got. A reader that cannot reach the
     /// store applies them and passes them on.
     pub fn apply_update(&mut self, update: Update, zone: &str, now: Time) -> bool {
+        for evacuation in update.evacuations {
+            self.apply_evacuation(evacuation, now);
+        }
+        // The sender does not know yet that the store has returned from a backup.
+        if update.revision.era < self.catalog.target_revision().era {
+            return false;
+        }
         let is_same_zone = zone == &*self.settings.zone;
         let is_reader = self.is_reader(now);
         if is_reader && !is_same_zone && !self.is_store_unreachable {
@@ -137,7 +237,7 @@
         KnownState {
             revision: self.catalog.target_revision(),
             seen_revision: self.catalog.seen_revision(),
-            plan_version: self.catalog.plan().version,
+            plan: self.catalog.plan().id(),
         }
     }
 
@@ -154,28 +254,38 @@
                 self.peers.members().take(gossip::MAX_SNAPSHOT_MEMBERS).collect(),
             ),
         };
-        let is_later = plan.version > known.plan_version;
+        let is_later = plan.id().replaces(known.plan);
         let plan = if is_later { plan.clone() } else { Plan::default() };
-        Snapshot { revision, plan_mark: self.catalog.plan_mark(), plan, is_complete, records, members }
+        let evacuations = self.catalog.evacuations().iter().cloned().collect();
+        let plan_mark = self.catalog.plan_mark();
+        Snapshot { revision, plan_mark, plan, is_complete, records, evacuations, members }
     }
 
-    /// Applies the state of a peer. Targets that a complete snapshot does not list are gone.
+    /// Applies the state of a peer. Targets that a complete snapshot does not list are gone, or
+    /// missing if it is of a later era: they may not have registered again yet.
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Time) {
         self.adopt(snapshot.plan);
+        for evacuation in snapshot.evacuations {
+            self.apply_evacuation(evacuation, now);
+        }
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
         }
-        self.catalog.confirm_plan(snapshot.plan_mark);
         let before = self.catalog.target_revision();
+        if snapshot.revision.era < before.era {
+            return;
+        }
+        let is_later_era = snapshot.revision.era > before.era && before.is_some();
+        self.catalog.confirm_plan(snapshot.plan_mark);
         let mut records = snapshot.records;
         if snapshot.is_complete {
             let listed: Vec<_> = records.iter().map(|record| record.entry.name.clone()).collect();
-            records.extend(self.catalog.unlisted(&listed, snapshot.revision, false));
+            records.extend(self.catalog.unlisted(&listed, snapshot.revision, is_later_era));
         }
         for record in records {
             self.apply(record, now);
         }
-        self.catalog.advance_targets(snapshot.revision);
+        self.advance_catalog(snapshot.revision, now);
         if snapshot.is_complete {
             self.catalog.record_skipped(before);
         }
@@ -184,24 +294,39 @@
 
     /// Records that a reading listed all targets, when the targets were complete up to the
     /// revision `before`.
-    pub fn record_skipped(&mut self, before: u64) {
+    pub fn record_skipped(&mut self, before: Revision) {
         self.catalog.record_skipped(before);
     }
 
     /// Marks targets and plan complete up to a revision, as the store has just confirmed.
-    pub fn advance(&mut self, revision: u64, now: Time) {
+    pub fn advance(&mut self, revision: Revision, now: Time) {
         self.catalog.confirm_plan(Mark { revision, ..self.catalog.plan_mark() });
         self.advance_targets(revision, now);
     }
 
     /// Marks the targets complete up to a revision, as the store or its reader has just
     /// confirmed.
-    fn advance_targets(&mut self, revision: u64, now: Time) {
-        self.catalog.advance_targets(revision);
+    fn advance_targets(&mut self, revision: Revision, now: Time) {
+        self.advance_catalog(revision, now);
         self.is_behind = false;
+        if now.since(self.synced_at) >= MAX_SYNC_GAP_MS {
+            self.synced_since = now;
+        }
         self.synced_at = now;
     }
 
+    /// Marks the targets complete up to a revision, and records the start of an era.
+    fn advance_catalog(&mut self, revision: Revision, now: Time) {
+        let before = self.catalog.target_revision();
+        self.catalog.advance_targets(revision);
+        if revision.era > before.era {
+            self.era_began = now;
+            if before.is_some() {
+                self.notices.push(Notice::EraBegan { era: revision.era, revision });
+            }
+        }
+    }
+
     /// Time since the store or its reader last confirmed that the targets are complete, in
     /// milliseconds. They confirm it also when nothing has changed.
     pub fn sync_age_ms(&self, now: Time) -> u64 {
@@ -260,7 +385,7 @@
         self.loads.report(Peers::key(sender), loads, now + valid_ms);
         if let Some(state) = self.peers.get_mut(sender) {
             state.revision = report.revision;
-            state.plan_version = report.plan_version;
+            state.plan = report.plan;
             state.is_leaving = report.is_leaving;
         }
     }
@@ -284,7 +409,7 @@
         };
         Report {
             revision: self.catalog.target_revision(),
-            plan_version: self.catalog.plan().version,
+            plan: self.catalog.plan().id(),
             is_leaving: self.is_leaving,
             loads,
             moved,
@@ -296,7 +421,7 @@
     /// [`Peers::report_recipients`]).
     pub fn report_recipients(&mut self, report: &Report, round: u64, now: Time) -> Vec<SocketAddrV4> {
         // The next unchanged report is early enough for the revision.
-        let content = Report { revision: 0, ..report.clone() };
+        let content = Report { revision: Revision::NONE, ..report.clone() };
         let is_changed = content != self.last_report;
         self.last_report = content;
         self.peers.report_recipients(round, is_changed, now).map(|peer| peer.address).collect()
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddrV4, sync::Arc};
 
-use crate::relay::{Token, catalog::State};
+use crate::relay::{Token, catalog::State, revision::Revision};
 
 /// State that is missing to decide on a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +36,8 @@
 pub enum Refusal {
     /// The route was removed from the plan.
     RouteRemoved,
+    /// All targets of the service are in evacuated zones.
+    Evacuated,
     /// This instance has used its share of the spare capacity until the next reports.
     BudgetExhausted,
     /// The expected wait for a slot exceeds the limit of the class.
@@ -51,6 +53,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Refusal::RouteRemoved => f.write_str("route removed from the plan"),
+            Refusal::Evacuated => f.write_str("all targets are in evacuated zones"),
             Refusal::BudgetExhausted => f.write_str("share of the spare capacity used up"),
             Refusal::WaitTooLong { wait_ms, limit_ms } => {
                 write!(f, "shortest wait {wait_ms:.0} ms, longest allowed {limit_ms:.0} ms")
@@ -104,7 +107,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Context {
     /// Store revision up to which the catalog is complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// Version of the plan in effect.
     pub plan: u64,
     /// Time since the store or its reader confirmed that the catalog is complete, in
@@ -157,6 +160,30 @@
         /// New state.
         state: State,
         /// Store revision of the change.
-        revision: u64,
+        revision: Revision,
+    },
+    /// An availability zone was evacuated, or its evacuation ended.
+    EvacuationChanged {
+        /// Availability zone.
+        zone: Arc<str>,
+        /// Whether it is evacuated.
+        is_active: bool,
+        /// Store revision of the change.
+        revision: Revision,
+    },
+    /// New flows of a service are refused, as all its targets are in evacuated zones, or that
+    /// has ended.
+    ServiceEvacuated {
+        /// Service.
+        service: Arc<str>,
+        /// Whether its flows are refused.
+        is_evacuated: bool,
+    },
+    /// The store has returned from a backup.
+    EraBegan {
+        /// New era.
+        era: u32,
+        /// Store revision up to which the targets are complete.
+        revision: Revision,
     },
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -27,14 +27,16 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
-    Plan, Token,
+    Plan, PlanId, Token,
     catalog::{Mark, Record},
+    evacuation::Evacuation,
     flows::FlowKey,
+    revision::Revision,
 };
 use crate::Error;
 
 /// Version of the encoding.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Longest datagram, in bytes, to fit into one packet on common links.
 pub const MAX_FRAME_BYTES: usize = 1_400;
@@ -42,6 +44,9 @@
 /// Longest snapshot, in bytes: twice the largest value in the platform's store.
 pub const MAX_SNAPSHOT_BYTES: usize = 2 * 1024 * 1024;
 
+/// Bytes of evacuations in one datagram.
+const MAX_EVACUATIONS_BYTES: usize = 1_200;
+
 /// Bytes of records in one datagram.
 const MAX_RECORDS_BYTES: usize = 1_200;
 
@@ -92,9 +97,9 @@
 #[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Store revision up to which the sender's targets are complete.
-    pub revision: u64,
-    /// Version of its plan.
-    pub plan_version: u64,
+    pub revision: Revision,
+    /// Its plan.
+    pub plan: PlanId,
     /// Whether it is shutting down.
     pub is_leaving: bool,
     /// Targets with flows or failures.
@@ -115,11 +120,13 @@
 #[derive(Deserialize, Serialize)]
 pub struct Update {
     /// Revision that a receiver must have reached, or it has missed an update.
-    pub after: u64,
+    pub after: Revision,
     /// Revision that the receiver reaches with this update.
-    pub revision: u64,
+    pub revision: Revision,
     /// Plan of the sender. A receiver with an older plan has to fetch it.
     pub plan_mark: Mark,
+    /// Evacuations that the sender knows, at most [`MAX_EVACUATIONS_BYTES`].
+    pub evacuations: Vec<Evacuation>,
     /// Changed records.
     #[serde(rename = "rows")]
     pub records: Vec<Record>,
@@ -173,23 +180,23 @@
 #[derive(Deserialize, Serialize)]
 pub struct KnownState {
     /// Store revision up to which its targets are complete; zero if it has none.
-    pub revision: u64,
+    pub revision: Revision,
     /// Latest store revision of which it has a record.
-    pub seen_revision: u64,
-    /// Version of its plan; zero if it has none.
-    pub plan_version: u64,
+    pub seen_revision: Revision,
+    /// Its plan; the default one if it has none.
+    pub plan: PlanId,
 }
 
 /// Longest request for a snapshot, in bytes.
-pub const MAX_KNOWN_STATE_BYTES: usize = 32;
+pub const MAX_KNOWN_STATE_BYTES: usize = 64;
 
 /// State of an instance: targets, routes and members, less what the receiver has already.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Snapshot {
     /// Store revision up to which the receiver's targets are complete with it; zero if the
     /// sender has no state.
-    pub revision: u64,
+    pub revision: Revision,
     /// Plan of the sender.
     pub plan_mark: Mark,
     /// Plan in effect; version zero if the receiver has it.
@@ -199,6 +206,8 @@
     /// Records of the targets.
     #[serde(rename = "rows")]
     pub records: Vec<Record>,
+    /// Evacuations that the sender knows.
+    pub evacuations: Vec<Evacuation>,
     /// Instances known to the sender, at most [`MAX_SNAPSHOT_MEMBERS`], for a receiver that
     /// has just started.
     pub members: Vec<Member>,
@@ -255,31 +264,58 @@
 /// Splits an update into parts that each fit into a datagram. Each part ends at the
 /// revision that the next one requires, so a lost part shows as a gap. If records of one
 /// revision do not fit into a datagram, the result has no records and requires its own
-/// revision; receivers then see a gap and fetch a snapshot.
+/// revision; receivers then see a gap and fetch a snapshot. Evacuations have a part of their
+/// own beside records.
 pub fn split(update: Update) -> Vec<Update> {
-    let Update { mut after, revision, plan_mark, mut records } = update;
+    let Update { mut after, revision, plan_mark, evacuations, mut records } = update;
+    let part =
+        |after, revision, records| Update { after, revision, plan_mark, evacuations: Vec::new(), records };
     records.sort_by_key(|record| record.revision);
     let mut parts = Vec::new();
-    let mut part = Vec::new();
+    let mut batch = Vec::new();
     let mut bytes = 0;
     for record in records {
-        let size = postcard::experimental::serialized_size(&record).unwrap_or(MAX_RECORDS_BYTES);
-        if bytes + size > MAX_RECORDS_BYTES && !part.is_empty() {
-            let reached = part.last().map_or(after, |last: &Record| last.revision);
+        let size = size(&record).unwrap_or(MAX_RECORDS_BYTES);
+        if bytes + size > MAX_RECORDS_BYTES && !batch.is_empty() {
+            let reached = batch.last().map_or(after, |last: &Record| last.revision);
             if reached == record.revision {
-                return vec![Update { after: revision, revision, plan_mark, records: Vec::new() }];
+                (parts, batch, after) = (Vec::new(), Vec::new(), revision);
+                break;
             }
-            parts.push(Update { after, revision: reached, plan_mark, records: std::mem::take(&mut part) });
+            parts.push(part(after, reached, std::mem::take(&mut batch)));
             after = reached;
             bytes = 0;
         }
         bytes += size;
-        part.push(record);
+        batch.push(record);
+    }
+    let has_records = !batch.is_empty();
+    parts.push(part(after, revision, batch));
+    if has_records && !evacuations.is_empty() {
+        parts.push(part(revision, revision, Vec::new()));
+    }
+    if let Some(last) = parts.last_mut() {
+        last.evacuations = fitting(evacuations);
     }
-    parts.push(Update { after, revision, plan_mark, records: part });
     parts
 }
 
+/// Evacuations that fit into a datagram: the active ones first, then the latest.
+fn fitting(mut evacuations: Vec<Evacuation>) -> Vec<Evacuation> {
+    evacuations.sort_by_key(|known| std::cmp::Reverse((known.is_active, known.revision)));
+    let mut bytes = 0;
+    evacuations.retain(|evacuation| {
+        bytes += size(evacuation).unwrap_or(MAX_EVACUATIONS_BYTES);
+        bytes <= MAX_EVACUATIONS_BYTES
+    });
+    evacuations
+}
+
+/// Encoded size of a value, in bytes.
+fn size(value: &impl Serialize) -> Option<usize> {
+    postcard::experimental::serialized_size(value).ok()
+}
+
 fn encode(value: &impl Serialize) -> Vec<u8> {
     postcard::to_extend(value, vec![VERSION]).expect("encoding into memory does not fail")
 }
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -16,10 +16,12 @@
 };
 
 use super::{
+    PlanId,
     cells::Cell,
     gossip::Member,
     load::PeerId,
     report_interval::{self, Interval},
+    revision::Revision,
 };
 use crate::{hash, time::Time};
 
@@ -64,9 +66,9 @@
     /// When this instance first knew of it.
     pub discovered: Time,
     /// Store revision that it reported.
-    pub revision: u64,
-    /// Plan version that it reported.
-    pub plan_version: u64,
+    pub revision: Revision,
+    /// Plan that it reported.
+    pub plan: PlanId,
     /// Whether it is shutting down.
     pub is_leaving: bool,
 }
@@ -96,8 +98,8 @@
             address,
             last_heard: None,
             discovered: now,
-            revision: 0,
-            plan_version: 0,
+            revision: Revision::NONE,
+            plan: PlanId::default(),
             is_leaving: false,
         });
         if state.last_heard.is_none_or(|last_heard| now.since(last_heard) >= timeout_ms) {
@@ -265,8 +267,8 @@
     /// Live peers with newer state than this instance: those with a later plan if there are
     /// any, otherwise those with a later revision. If any of them are in the given zone, only
     /// these, as traffic between zones has a cost.
-    pub fn ahead(&self, zone: &str, revision: u64, plan_version: u64, now: Time) -> Vec<&PeerState> {
-        let mut ahead: Vec<_> = self.live(now).filter(|state| state.plan_version > plan_version).collect();
+    pub fn ahead(&self, zone: &str, revision: Revision, plan: PlanId, now: Time) -> Vec<&PeerState> {
+        let mut ahead: Vec<_> = self.live(now).filter(|state| state.plan.replaces(plan)).collect();
         if ahead.is_empty() {
             ahead.extend(self.live(now).filter(|state| state.revision > revision));
         }
@@ -277,8 +279,8 @@
     }
 
     /// Whether a live peer has a later plan.
-    pub fn has_later_plan(&self, plan_version: u64, now: Time) -> bool {
-        self.live(now).any(|state| state.plan_version > plan_version)
+    pub fn has_later_plan(&self, plan: PlanId, now: Time) -> bool {
+        self.live(now).any(|state| state.plan.replaces(plan))
     }
 
     /// Other availability zones that have recently become unreachable, with the time of
--- a/tests/relay_catalog.rs
+++ b/tests/relay_catalog.rs
@@ -25,7 +25,7 @@
         warm_up_ms: 0,
         heartbeat: revision,
     };
-    Record { entry, state, revision }
+    Record { entry, state, revision: revision.into() }
 }
 
 fn state(catalog: &Catalog, name: &str) -> Option<State> {
@@ -57,7 +57,7 @@
 fn missing_then_registered() {
     let mut catalog = Catalog::default();
     catalog.apply(record("a-1", 5, State::Ready), Time(0));
-    let removal = catalog.removal("a-1", 6, true).unwrap();
+    let removal = catalog.removal("a-1", 6.into(), true).unwrap();
     assert_eq!(removal.state, State::Missing);
     catalog.apply(removal, Time(10));
     assert_eq!(catalog.service_targets(0), [0], "a missing target keeps getting flows");
@@ -69,7 +69,7 @@
 fn missing_then_gone() {
     let mut catalog = Catalog::default();
     catalog.apply(record("a-1", 5, State::Ready), Time(0));
-    catalog.apply(catalog.removal("a-1", 6, true).unwrap(), Time(10));
+    catalog.apply(catalog.removal("a-1", 6.into(), true).unwrap(), Time(10));
     assert!(catalog.unrecovered(Time(10), Time(9 + REREGISTRATION_MS)).is_empty());
     for record in catalog.unrecovered(Time(10), Time(10 + REREGISTRATION_MS)) {
         catalog.apply(record, Time(10 + REREGISTRATION_MS));
@@ -84,7 +84,7 @@
     catalog.apply(record("a-1", 5, State::Ready), Time(0));
     catalog.apply(record("a-2", 6, State::Ready), Time(0));
     catalog.apply(record("a-3", 9, State::Ready), Time(0));
-    let unlisted = catalog.unlisted(&["a-2".into()], 8, false);
+    let unlisted = catalog.unlisted(&["a-2".into()], 8.into(), false);
     let names: Vec<_> = unlisted.iter().map(|record| &*record.entry.name).collect();
     assert_eq!(names, ["a-1"], "a record newer than the reading stays");
 }
--- a/tests/relay_cells.rs
+++ b/tests/relay_cells.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use ragwortlb::{
     relay::{
-        Token,
+        PlanId, Token,
         cells::{CELL_INSTANCES, Cell},
         gossip::{Frame, Load, Message, Report},
         load,
@@ -102,8 +102,8 @@
         is_responsive: false,
     };
     let report = Report {
-        revision: 1_000_000,
-        plan_version: 100_000,
+        revision: 1_000_000.into(),
+        plan: PlanId { version: 100_000, ..PlanId::default() },
         is_leaving: false,
         loads: (0..OPEN_FLOWS).map(load).collect(),
         moved: Vec::new(),
--- a/tests/relay_completeness.rs
+++ b/tests/relay_completeness.rs
@@ -79,7 +79,7 @@
 
     /// What a watch from a revision returns.
     fn changes(&self, after: u64) -> Reading {
-        let mut reading = Reading { revision: self.revision(), ..Reading::default() };
+        let mut reading = Reading { revision: self.revision().into(), ..Reading::default() };
         for (write, revision) in self.writes.iter().zip(1..).skip(after as usize) {
             match write {
                 Write::Plan { version } => reading.plan = Some(plan(*version)),
@@ -87,7 +87,11 @@
                     reading.observations.push(Observation::Record(record(*index, *state, revision)));
                 }
                 Write::Target { index, state: None } => {
-                    let ended = Observation::Ended { name: name(*index), revision, store_unstable: false };
+                    let ended = Observation::Ended {
+                        name: name(*index),
+                        revision: revision.into(),
+                        store_unstable: false,
+                    };
                     reading.observations.push(ended);
                 }
             }
@@ -99,11 +103,11 @@
     fn all(&self, revision: u64, catalog: &Catalog) -> Reading {
         let keys = self.keys(revision);
         let listed: Vec<Arc<str>> = keys.targets.keys().map(|index| name(*index)).collect();
-        let mut records = catalog.unlisted(&listed, revision, false);
+        let mut records = catalog.unlisted(&listed, revision.into(), false);
         records.extend(keys.targets.iter().map(|(index, (state, at))| record(*index, *state, *at)));
         let plan = (keys.plan_version > 0).then(|| plan(keys.plan_version));
         let observations = records.into_iter().map(Observation::Record).collect();
-        Reading { plan, observations, revision }
+        Reading { plan, observations, revision: revision.into(), ..Reading::default() }
     }
 }
 
@@ -112,7 +116,7 @@
 }
 
 fn plan(version: u64) -> Plan {
-    Plan { version, routes: Vec::new(), idle_ms: 15_000 }
+    Plan { version, idle_ms: 15_000, ..Plan::default() }
 }
 
 fn record(index: usize, state: State, revision: u64) -> Record {
@@ -128,7 +132,7 @@
         warm_up_ms: 0,
         heartbeat: revision,
     };
-    Record { entry, state, revision }
+    Record { entry, state, revision: revision.into() }
 }
 
 fn zone(instance: usize) -> &'static str {
@@ -289,10 +293,10 @@
     fn watch(&mut self, instance: usize) {
         let catalog = self.instances[instance].catalog();
         // An instance watches only once it has state.
-        if catalog.revision() == 0 {
+        if !catalog.revision().is_some() {
             return;
         }
-        let reading = self.store.changes(catalog.revision());
+        let reading = self.store.changes(catalog.revision().number);
         let update = self.instances[instance].apply_reading(reading, NOW);
         for part in gossip::split(update) {
             self.send_update(instance, &part);
@@ -323,7 +327,7 @@
         let known = KnownState::from_bytes(&self.instances[to].known_state().to_bytes()).unwrap();
         let snapshot = self.instances[from].snapshot(&known);
         // The same condition as in the daemon: the peer has state, and one of both a plan.
-        if to != from && snapshot.revision > 0 && known.plan_version.max(snapshot.plan.version) > 0 {
+        if to != from && snapshot.revision.is_some() && known.plan.version.max(snapshot.plan.version) > 0 {
             let snapshot = Snapshot::from_bytes(&snapshot.to_bytes()).unwrap();
             self.sent.push(Sent::Snapshot { to, snapshot });
         }
@@ -351,7 +355,7 @@
         for (index, instance) in self.instances.iter().enumerate() {
             let catalog = instance.catalog();
             let (plan_revision, target_revision) = (catalog.plan_mark().revision, catalog.target_revision());
-            let expected = self.store.keys(plan_revision).plan_version;
+            let expected = self.store.keys(plan_revision.number).plan_version;
             prop_assert!(
                 catalog.plan().version >= expected,
                 "instance {} has plan {} and not {} at revision {}",
@@ -360,12 +364,12 @@
                 expected,
                 plan_revision
             );
-            for (target, (_, revision)) in self.store.keys(target_revision).targets {
+            for (target, (_, revision)) in self.store.keys(target_revision.number).targets {
                 let found = catalog.records().find(|record| record.entry.name == name(target));
                 // A peer may have known a later end and passed on nothing else.
-                let has_ended = || self.store.ends(target).any(|end| end > target_revision);
+                let has_ended = || self.store.ends(target).any(|end| end > target_revision.number);
                 prop_assert!(
-                    found.map_or_else(has_ended, |record| record.revision >= revision),
+                    found.map_or_else(has_ended, |record| record.revision.number >= revision),
                     "instance {} lacks target {} of revision {} at revision {}",
                     index,
                     target,
@@ -402,7 +406,7 @@
 fn keys(catalog: &Catalog) -> Keys {
     let records = catalog.records().filter(|record| record.state != State::Gone);
     let index = |name: &str| usize::from_str_radix(&name[2..], 16).unwrap();
-    let targets = records.map(|record| (index(&record.entry.name), (record.state, record.revision)));
+    let targets = records.map(|record| (index(&record.entry.name), (record.state, record.revision.number)));
     Keys { plan_version: catalog.plan().version, targets: targets.collect() }
 }
 
@@ -479,7 +483,7 @@
         // All others are lost, and with them what they have sent.
         let expected = fleet.store.keys(fleet.store.revision());
         for instance in 0..INSTANCES {
-            if fleet.instances[instance].catalog().revision() == 0 {
+            if !fleet.instances[instance].catalog().revision().is_some() {
                 fleet.read_all(instance, 0);
             } else {
                 fleet.watch(instance);
--- a/tests/relay_missing.rs
+++ b/tests/relay_missing.rs
@@ -33,14 +33,14 @@
         warm_up_ms: 0,
         heartbeat: revision,
     };
-    Record { entry, state: State::Ready, revision }
+    Record { entry, state: State::Ready, revision: revision.into() }
 }
 
 fn forwarder(name: &str) -> Forwarder {
     let mut forwarder =
         Forwarder::new(Settings { name: name.into(), zone: "pa".into(), ..Settings::default() });
     let observations = vec![Observation::Record(record(1))];
-    forwarder.apply_reading(Reading { plan: None, observations, revision: 1 }, Time(0));
+    forwarder.apply_reading(Reading { observations, revision: 1.into(), ..Reading::default() }, Time(0));
     forwarder
 }
 
@@ -51,8 +51,8 @@
 /// The store reader and a peer that has got the update with the missing target.
 fn after_outage() -> (Forwarder, Forwarder) {
     let (mut reader, mut peer) = (forwarder("e-1"), forwarder("e-2"));
-    let ended = Observation::Ended { name: NAME.into(), revision: 2, store_unstable: true };
-    let reading = Reading { plan: None, observations: vec![ended], revision: 2 };
+    let ended = Observation::Ended { name: NAME.into(), revision: 2.into(), store_unstable: true };
+    let reading = Reading { observations: vec![ended], revision: 2.into(), ..Reading::default() };
     let update = reader.apply_reading(reading, OUTAGE_END);
     peer.apply_update(update, "pa", OUTAGE_END);
     assert_eq!((state(&reader), state(&peer)), (Some(State::Missing), Some(State::Missing)));
@@ -65,8 +65,7 @@
     for record in &records {
         reader.apply(record.clone(), now);
     }
-    let revision = reader.catalog().target_revision();
-    Update { after: revision, revision, plan_mark: reader.catalog().plan_mark(), records }
+    reader.update(reader.catalog().target_revision(), records)
 }
 
 #[test]
@@ -87,7 +86,8 @@
     drop(remove_unrecovered(&mut reader, now));
     for round in 1..=10 {
         let now = now + round * 1_000;
-        let update = reader.apply_reading(Reading { revision: 2 + round, ..Reading::default() }, now);
+        let update =
+            reader.apply_reading(Reading { revision: (2 + round).into(), ..Reading::default() }, now);
         peer.apply_update(update, "pa", now);
         peer.tick(now);
     }
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use ragwortlb::{
     relay::{
-        Entry,
+        Entry, PlanId,
         catalog::{Mark, Record, State},
         forwarder::{Forwarder, Observation, Reading, Settings},
         gossip::{self, Frame, MAX_FRAME_BYTES, Member, Message, Snapshot, Update},
@@ -30,12 +30,14 @@
         warm_up_ms: 2_000,
         heartbeat: index,
     };
-    (1..=count).map(|index| Record { entry: entry(index), state: State::Ready, revision: index }).collect()
+    (1..=count)
+        .map(|index| Record { entry: entry(index), state: State::Ready, revision: index.into() })
+        .collect()
 }
 
 /// Plan of a sender that has none either.
 fn mark(revision: u64) -> Mark {
-    Mark { version: 0, revision }
+    Mark { plan: PlanId::default(), revision: revision.into() }
 }
 
 fn frame(message: Message) -> Frame {
@@ -48,16 +50,15 @@
 
 #[test]
 fn records_in_datagrams() {
-    let parts =
-        gossip::split(Update { after: 3, revision: 200, plan_mark: mark(200), records: records(200) });
+    let parts = gossip::split(Update { records: records(200), ..update(3, 200) });
     assert!(parts.len() > 1);
     for records in &parts {
         assert!(frame(Message::Update(records.clone())).to_bytes().len() <= MAX_FRAME_BYTES);
     }
     assert_eq!(parts.iter().map(|part| part.records.len()).sum::<usize>(), 200);
-    assert_eq!(parts[0].after, 3);
+    assert_eq!(parts[0].after, 3.into());
     assert!(parts.windows(2).all(|pair| pair[0].revision == pair[1].after));
-    assert_eq!(parts.last().unwrap().revision, 200);
+    assert_eq!(parts.last().unwrap().revision, 200.into());
 }
 
 /// Forwarder that starts at revision zero and gets all parts but one.
@@ -71,24 +72,23 @@
 
 #[test]
 fn lost_part() {
-    let parts =
-        gossip::split(Update { after: 0, revision: 200, plan_mark: mark(200), records: records(200) });
+    let parts = gossip::split(Update { records: records(200), ..update(0, 200) });
     for lost in 0..parts.len() {
         let forwarder = forwarder_without(&parts, lost);
-        assert!(forwarder.catalog().revision() < 200, "part {lost} is lost");
+        assert!(forwarder.catalog().revision() < 200.into(), "part {lost} is lost");
         assert_eq!(forwarder.is_behind(), lost + 1 < parts.len(), "part {lost} is lost");
     }
-    assert_eq!(forwarder_without(&parts, parts.len()).catalog().revision(), 200);
+    assert_eq!(forwarder_without(&parts, parts.len()).catalog().revision(), 200.into());
 }
 
 #[test]
 fn oversized_revision() {
     let mut same = records(40);
-    same.iter_mut().for_each(|record| record.revision = 9);
-    let parts = gossip::split(Update { after: 0, revision: 9, plan_mark: mark(9), records: same });
+    same.iter_mut().for_each(|record| record.revision = 9.into());
+    let parts = gossip::split(Update { records: same, ..update(0, 9) });
     let forwarder = forwarder_without(&parts, parts.len());
     assert!(forwarder.is_behind(), "records that do not fit must be fetched");
-    assert!(forwarder.catalog().revision() < 9);
+    assert!(forwarder.catalog().revision() < 9.into());
 }
 
 #[test]
@@ -107,7 +107,7 @@
 fn complete(is_reader: bool) -> Forwarder {
     let mut forwarder =
         Forwarder::new(Settings { name: "e-1".into(), zone: "pa".into(), ..Settings::default() });
-    forwarder.advance(5, Time(0));
+    forwarder.advance(5.into(), Time(0));
     let below = (2..).map(|index| format!("e-{index}")).find(|name| Peers::key(name) < Peers::key("e-1"));
     if !is_reader {
         forwarder.peers_mut().record_peer(&below.unwrap().into(), &"pa".into(), address(2), Time(1));
@@ -116,17 +116,23 @@
 }
 
 fn update(after: u64, revision: u64) -> Update {
-    Update { after, revision, plan_mark: mark(revision), records: Vec::new() }
+    Update {
+        after: after.into(),
+        revision: revision.into(),
+        plan_mark: mark(revision),
+        evacuations: Vec::new(),
+        records: Vec::new(),
+    }
 }
 
 #[test]
 fn lost_update() {
     let mut forwarder = complete(false);
     forwarder.apply_update(Update { records: records(1), ..update(7, 9) }, "pa", Time(1));
-    assert_eq!(forwarder.catalog().revision(), 5, "an update after a gap does not make it complete");
+    assert_eq!(forwarder.catalog().revision(), 5.into(), "an update after a gap does not make it complete");
     assert!(forwarder.is_behind());
     forwarder.apply_update(update(4, 9), "pa", Time(1));
-    assert_eq!(forwarder.catalog().revision(), 9);
+    assert_eq!(forwarder.catalog().revision(), 9.into());
     assert!(!forwarder.is_behind());
 }
 
@@ -135,13 +141,13 @@
     let mut forwarder = complete(true);
     forwarder.set_store_unreachable(true);
     // The record is applied, but the gap before it keeps the catalog incomplete.
-    let record = Record { revision: 8, ..records(1).remove(0) };
+    let record = Record { revision: 8.into(), ..records(1).remove(0) };
     forwarder.apply_update(Update { records: vec![record.clone()], ..update(7, 9) }, "ct", Time(1));
     let update = forwarder.apply_reading(
-        Reading { plan: None, observations: vec![Observation::Record(record)], revision: 9 },
+        Reading { observations: vec![Observation::Record(record)], revision: 9.into(), ..Reading::default() },
         Time(2),
     );
-    assert_eq!((update.after, update.revision), (5, 9));
+    assert_eq!((update.after, update.revision), (5.into(), 9.into()));
     assert_eq!(update.records.len(), 1, "peers that are complete up to 5 lack the record");
 }
 
@@ -151,17 +157,17 @@
     assert!(!forwarder.apply_update(update(7, 9), "ct", Time(1)));
     assert!(!forwarder.is_behind(), "the store reader of the own zone sends the records in between");
     assert!(!forwarder.apply_update(update(5, 9), "ct", Time(1)), "only a store reader passes updates on");
-    assert_eq!(forwarder.catalog().revision(), 9);
+    assert_eq!(forwarder.catalog().revision(), 9.into());
 }
 
 #[test]
 fn reader_uses_store() {
     let mut forwarder = complete(true);
     assert!(!forwarder.apply_update(update(5, 9), "ct", Time(1)));
-    assert_eq!(forwarder.catalog().revision(), 5, "its zone would miss the records up to 9");
+    assert_eq!(forwarder.catalog().revision(), 5.into(), "its zone would miss the records up to 9");
     forwarder.set_store_unreachable(true);
     assert!(forwarder.apply_update(update(5, 9), "ct", Time(1)), "without the store it passes updates on");
-    assert_eq!(forwarder.catalog().revision(), 9);
+    assert_eq!(forwarder.catalog().revision(), 9.into());
 }
 
 #[test]
--- a/tests/relay_odd_entries.rs
+++ b/tests/relay_odd_entries.rs
@@ -39,7 +39,7 @@
         warm_up_ms: 0,
         heartbeat: 1,
     };
-    Record { entry, state: State::Ready, revision }
+    Record { entry, state: State::Ready, revision: revision.into() }
 }
 
 fn odd_record() -> impl Strategy<Value = Record> {
@@ -71,7 +71,7 @@
 }
 
 fn plan() -> Plan {
-    Plan { version: 1, routes: Vec::new(), idle_ms: 15_000 }
+    Plan { version: 1, idle_ms: 15_000, ..Plan::default() }
 }
 
 fn names(forwarder: &Forwarder) -> BTreeSet<Arc<str>> {
@@ -97,7 +97,10 @@
 
 fn apply(forwarder: &mut Forwarder, records: Vec<Record>) -> Update {
     let observations = records.into_iter().map(Observation::Record).collect();
-    forwarder.apply_reading(Reading { plan: Some(plan()), observations, revision: TARGETS }, NOW)
+    forwarder.apply_reading(
+        Reading { plan: Some(plan()), observations, revision: TARGETS.into(), ..Reading::default() },
+        NOW,
+    )
 }
 
 proptest! {
@@ -109,10 +112,10 @@
         let mut reader = forwarder("e-1");
         let update = apply(&mut reader, records(odd.clone()));
         prop_assert_eq!(names(&reader), expected());
-        prop_assert_eq!(reader.catalog().revision(), TARGETS);
+        prop_assert_eq!(reader.catalog().revision(), TARGETS.into());
 
         // An update.
-        let parts = gossip::split(Update { after: 0, ..update });
+        let parts = gossip::split(Update { after: 0.into(), ..update });
         let mut peer = forwarder("e-2");
         for part in parts {
             let frame = gossip::Frame {
@@ -124,7 +127,7 @@
             peer.apply_update(part, "zone", NOW);
         }
         prop_assert_eq!(names(&peer), expected());
-        prop_assert_eq!(peer.catalog().target_revision(), TARGETS);
+        prop_assert_eq!(peer.catalog().target_revision(), TARGETS.into());
         prop_assert!(!peer.is_behind());
 
         // A snapshot, and one that holds the odd entry.
@@ -133,16 +136,17 @@
         started.apply_snapshot(Snapshot::from_bytes(&snapshot.to_bytes()).unwrap(), NOW);
         prop_assert_eq!(names(&started), expected());
         let foreign = Snapshot {
-            revision: TARGETS,
-            plan_mark: Mark { version: 1, revision: TARGETS },
+            revision: TARGETS.into(),
+            plan_mark: Mark { plan: plan().id(), revision: TARGETS.into() },
             plan: plan(),
             is_complete: true,
             records: records(odd),
             members: Vec::new(),
+            ..Snapshot::default()
         };
         let mut started = forwarder("e-2");
         started.apply_snapshot(Snapshot::from_bytes(&foreign.to_bytes()).unwrap(), NOW);
         prop_assert_eq!(names(&started), expected());
-        prop_assert_eq!(started.catalog().revision(), TARGETS);
+        prop_assert_eq!(started.catalog().revision(), TARGETS.into());
     }
 }
--- a/tests/relay_shared_token.rs
+++ b/tests/relay_shared_token.rs
@@ -29,7 +29,7 @@
         warm_up_ms: 0,
         heartbeat: revision,
     };
-    Record { entry, state, revision }
+    Record { entry, state, revision: revision.into() }
 }
 
 /// Number of the target that gets packets with the token.
--- a/tests/relay_snapshots.rs
+++ b/tests/relay_snapshots.rs
@@ -37,9 +37,10 @@
 }
 
 fn change(forwarder: &mut Forwarder, target: usize, state: State, revision: u64, now: Time) {
+    let revision = revision.into();
     let record = Record { entry: entry(target, 2), state, revision };
     let observations = vec![Observation::Record(record)];
-    forwarder.apply_reading(Reading { plan: None, observations, revision }, now);
+    forwarder.apply_reading(Reading { observations, revision, ..Reading::default() }, now);
 }
 
 fn fetch(from: &Forwarder, to: &mut Forwarder, now: Time) -> Snapshot {
@@ -70,7 +71,7 @@
     let bytes = snapshot.to_bytes().len();
     assert!(bytes <= MAX_CHANGES_BYTES, "{bytes} bytes");
     assert_same_targets(&ahead, &behind, "a change is missing");
-    assert_eq!((behind.catalog().revision(), behind.catalog().plan().version), (6, 2));
+    assert_eq!((behind.catalog().revision(), behind.catalog().plan().version), (6.into(), 2));
     let snapshot = fetch(&ahead, &mut behind, Time(1_200));
     assert_eq!((snapshot.records.len(), snapshot.plan.version), (0, 0), "nothing is sent twice");
 }
--- a/tests/relay_tokens.rs
+++ b/tests/relay_tokens.rs
@@ -28,7 +28,7 @@
 }
 
 fn plan(version: u64, routes: Vec<Route>) -> Plan {
-    Plan { version, routes, idle_ms: 15_000 }
+    Plan { version, routes, idle_ms: 15_000, ..Plan::default() }
 }
 
 fn record(name: &str, service: &str, host: u8, revision: u64) -> Record {
@@ -44,7 +44,7 @@
         warm_up_ms: 0,
         heartbeat: 1,
     };
-    Record { entry, state: State::Ready, revision }
+    Record { entry, state: State::Ready, revision: revision.into() }
 }
 
 fn packet(port: u16, kind: Kind, token: Token) -> Packet {
@@ -57,7 +57,7 @@
     forwarder.adopt(plan(1, vec![route(BOOKING, "booking"), route(DOCUMENTS, "documents")]));
     forwarder.apply(record("b-1", "booking", 1, 1), Time(0));
     forwarder.apply(record("d-2", "documents", 2, 2), Time(0));
-    forwarder.advance(2, Time(0));
+    forwarder.advance(2.into(), Time(0));
     forwarder
 }
 
@@ -82,7 +82,7 @@
 #[test]
 fn gone_target() {
     let mut forwarder = forwarder();
-    let gone = Record { state: State::Gone, revision: 3, ..record("b-1", "booking", 1, 1) };
+    let gone = Record { state: State::Gone, revision: 3.into(), ..record("b-1", "booking", 1, 1) };
     forwarder.apply(gone, Time(10));
     // Another target has its address now and refuses the old number.
     forwarder.apply(record("d-9", "documents", 1, 4), Time(20));
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -703,7 +703,7 @@
         shares: vec![WeightedService { service: "matching".into(), weight: 1 }],
         class: load.class,
     };
-    Plan { version: 1, routes: loads.iter().map(route).collect(), idle_ms: 15_000 }
+    Plan { version: 1, routes: loads.iter().map(route).collect(), idle_ms: 15_000, ..Plan::default() }
 }
 
 pub fn forwarder(index: usize, seed: u64, plan: &Plan, targets: usize, slots: u32) -> Forwarder {
@@ -715,9 +715,10 @@
     });
     forwarder.adopt(plan.clone());
     for target in 0..targets {
-        forwarder.apply(Record { entry: entry(target, slots), state: State::Ready, revision: 1 }, Time(0));
+        forwarder
+            .apply(Record { entry: entry(target, slots), state: State::Ready, revision: 1.into() }, Time(0));
     }
-    forwarder.advance(1, Time(0));
+    forwarder.advance(1.into(), Time(0));
     forwarder
 }
 
