Reset idempotent flows whose target is in a partitioned zone

Ruled out: a reset by silence of the zone's instances alone, as its targets may run. Not measured yet.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -28,7 +28,7 @@
 
 fn forwarder(targets: usize) -> Forwarder {
     let mut forwarder = Forwarder::new(Settings::default());
-    let class = Class { priority: 1, objective_ms: 300, timeout_ms: 2_000 };
+    let class = Class { priority: 1, objective_ms: 300, timeout_ms: 2_000, ..Class::default() };
     let shares = vec![WeightedService { service: "booking".into(), weight: 1 }];
     forwarder.adopt(Plan {
         version: 1,
--- a/crates/ragwortlbd/src/relay/decisions.rs
+++ b/crates/ragwortlbd/src/relay/decisions.rs
@@ -53,6 +53,17 @@
     );
 }
 
+/// Logs that an open flow was reset, as its target is in a partitioned zone, unless the rate
+/// limit is reached.
+pub(super) fn reset(shared: &Shared, packet: &Packet) {
+    if shared.refusals.accept() {
+        log::info!(
+            client:% = packet.client, address:% = packet.address, token = packet.token.0;
+            "E727 an open flow was reset; its target is in a partitioned zone"
+        );
+    }
+}
+
 /// Logs that a request of an open flow started after it had waited for its target, unless the
 /// rate limit is reached.
 pub(super) fn started(shared: &Shared, packet: &Packet, destination: &Destination, waited_ms: u64) {
--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -170,6 +170,11 @@
             decisions::refused(shared, packet, &refusal, waited_ms);
             refuse(shared, packet);
         }
+        Verdict::Reset => {
+            increment(&shared.counts.flows_reset);
+            decisions::reset(shared, packet);
+            refuse(shared, packet);
+        }
         Verdict::Drop(DropReason::RequestExpired) => {
             increment(&shared.counts.expired);
             decisions::expired(shared, packet, waited_ms);
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -35,6 +35,7 @@
     pub refused_full: Cell<u64>,
     pub refused_dropped: Cell<u64>,
     pub refused_unknown: Cell<u64>,
+    pub flows_reset: Cell<u64>,
     pub dropped: Cell<u64>,
     pub deferred: Cell<u64>,
     pub paced: Cell<u64>,
@@ -250,7 +251,7 @@
 type Metric = (&'static str, &'static str, u64);
 
 impl Shared {
-    fn counters(&self) -> [Metric; 16] {
+    fn counters(&self) -> [Metric; 17] {
         let counts = &self.counts;
         [
             ("packets_forwarded", "Packets sent to targets", counts.forwarded.get()),
@@ -266,6 +267,11 @@
                 "Flows refused as they had no route or no target",
                 counts.refused_unknown.get(),
             ),
+            (
+                "flows_reset",
+                "Open flows reset as their target is in a partitioned zone",
+                counts.flows_reset.get(),
+            ),
             ("packets_dropped", "Packets dropped", counts.dropped.get()),
             ("packets_parked", "Packets that were deferred or queued", counts.deferred.get()),
             ("requests_paced", "Requests on open flows that waited for their target", counts.paced.get()),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,6 +23,7 @@
 | [`mix`] | recent traffic of each service by class |
 | [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
+| [`partition`] | resets of open flows to targets in partitioned zones |
 | [`warm_up`] | limit of the requests that cold targets get from all instances |
 | [`evacuation`] | availability zones whose targets get no new flows |
 | [`outlier`] | ejection of targets that do not answer |
@@ -62,6 +63,7 @@
 pub mod mix;
 pub mod outlier;
 pub mod pacing;
+pub mod partition;
 pub mod peers;
 pub mod placement;
 pub mod report_interval;
@@ -203,7 +205,7 @@
 }
 
 /// Class of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Class {
     /// Priority; zero is the most urgent.
@@ -212,6 +214,8 @@
     pub objective_ms: u64,
     /// Timeout of a request, in milliseconds.
     pub timeout_ms: u64,
+    /// Whether clients repeat a request after any failure, as a second run does no harm.
+    pub is_idempotent: bool,
 }
 
 /// Address that clients connect to, and the services that get its new flows.
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -32,6 +32,7 @@
     mix::Mix,
     outlier::Outliers,
     pacing::Pacing,
+    partition::Partitions,
     peers::Peers,
     placement::{self, Candidate},
     warm_up::{self, WarmUp},
@@ -110,6 +111,7 @@
     resumed: Option<Time>,
     /// Unreachable availability zones, with the time of their last message.
     unreachable: Vec<(Arc<str>, Time)>,
+    partitions: Partitions,
     candidates: Vec<Candidate>,
     /// Last answer of each target to a client of this instance.
     last_answer: Vec<Time>,
@@ -164,6 +166,7 @@
             last_fleet_tick: Time(0),
             resumed: None,
             unreachable: Vec::new(),
+            partitions: Partitions::default(),
             candidates: Vec::new(),
             last_answer: Vec::new(),
             notices: Vec::new(),
@@ -285,6 +288,10 @@
         }
         let destination = destination(index, target);
         let class = route.class;
+        if self.is_cut_off(now, packet, index, class) {
+            self.remove_record(FlowKey::of(packet.client, packet.address));
+            return Verdict::Reset;
+        }
         if self.must_wait_for_warm_up(now, packet, index)
             || self.must_wait(now, packet, index, class, arrived)
         {
@@ -397,6 +404,7 @@
         self.flows.clear();
         self.loads.clear();
         self.pacing.clear();
+        self.partitions.clear();
         self.peers.resume(now);
         self.resumed = Some(now);
     }
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -9,6 +9,7 @@
         flows::{Activity, Flow, FlowKey, IDLE_COUNTED_MS},
         gossip,
         pacing::Request,
+        partition,
         placement::Demand,
     },
     time::Time,
@@ -77,6 +78,33 @@
         !admitted
     }
 
+    /// Whether a packet belongs to a request on an open flow whose target is in a partitioned
+    /// zone, and whose client may repeat it. Records the signs of such a partition.
+    pub(super) fn is_cut_off(&mut self, now: Time, packet: &Packet, index: usize, class: Class) -> bool {
+        let Kind::Data { request: true, acked } = packet.kind else {
+            return false;
+        };
+        if self.unreachable.is_empty() || !class.is_idempotent {
+            return false;
+        }
+        let Some(target) = self.catalog.target(index) else {
+            return false;
+        };
+        let zone = target.record.entry.zone.clone();
+        let Some(&(_, silent_since)) = self.unreachable.iter().find(|(name, _)| *name == zone) else {
+            return false;
+        };
+        if let Some(flow) = self.flows.get(FlowKey::of(packet.client, packet.address)) {
+            let is_repeated = flow.activity == Activity::Running
+                && !flow.is_answered_by(acked)
+                && now.since(flow.started) >= partition::RETRANSMIT_MS;
+            if is_repeated {
+                self.partitions.record_repeated(&zone, index, silent_since);
+            }
+        }
+        self.partitions.is_cut(&zone, silent_since)
+    }
+
     /// Whether a packet with bytes of a request is the first one of it, on a flow that has a
     /// record here. The flow of another packet may have been placed by a peer just now, and
     /// its first request was admitted with it.
@@ -218,7 +246,8 @@
         let former = std::mem::replace(&mut flow.activity, Activity::Idle);
         flow.answers += 1;
         flow.expires = flow.last_active + IDLE_COUNTED_MS;
-        let (counted, time_ms) = (flow.target, now.since(flow.started));
+        let (counted, started) = (flow.target, flow.started);
+        let time_ms = now.since(started);
         let is_sample = flow.is_sample && flow.target == target;
         let (is_first, is_own) = (flow.answers == 1, flow.is_own);
         if is_first && is_own {
@@ -234,6 +263,9 @@
             self.loads.sample(target, service, time_ms, now);
         }
         self.note_answer(target, now);
+        if let Some(known) = self.catalog.target(target) {
+            self.partitions.record_answer(&known.record.entry.zone, started);
+        }
     }
 
     /// Tells peers with the next report that this instance counts a flow from now on.
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -95,6 +95,9 @@
     Forward(Destination),
     /// Refuse the flow with a reset; it has not opened yet.
     Refuse(Refusal),
+    /// Reset its open flow: the flow's target is in a partitioned zone, and its client may
+    /// repeat the request.
+    Reset,
     /// Drop it.
     Drop(DropReason),
     /// Keep it until the missing state arrives, for a limited time.
--- a/tests/relay_tokens.rs
+++ b/tests/relay_tokens.rs
@@ -23,7 +23,7 @@
     Route {
         address: address(port),
         shares: vec![WeightedService { service: service.into(), weight: 1 }],
-        class: Class { priority: 1, objective_ms: 300, timeout_ms: 2_000 },
+        class: Class { priority: 1, objective_ms: 300, timeout_ms: 2_000, ..Class::default() },
     }
 }
 
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -518,7 +518,9 @@
                     Event::Accepted { request, port, target: destination.target, token: destination.token.0 };
                 self.after(INTERNAL_LATENCY_MS + CLIENT_LATENCY_MS, event);
             }
-            Verdict::Refuse(_) => self.after(CLIENT_LATENCY_MS, Event::Refused { request, port }),
+            Verdict::Refuse(_) | Verdict::Reset => {
+                self.after(CLIENT_LATENCY_MS, Event::Refused { request, port });
+            }
             Verdict::Queue => self.queued[instance].push(QueuedPacket { packet, arrived, request }),
             Verdict::Forward(_) | Verdict::Drop(_) | Verdict::Defer(_) => {}
         }
@@ -540,7 +542,7 @@
                 self.after(INTERNAL_LATENCY_MS, Event::Work { request, port, target: destination.target });
             }
             Verdict::Queue => self.queued[instance].push(QueuedPacket { packet, arrived, request }),
-            Verdict::Refuse(_) | Verdict::Drop(_) | Verdict::Defer(_) => {}
+            Verdict::Refuse(_) | Verdict::Reset | Verdict::Drop(_) | Verdict::Defer(_) => {}
         }
     }
 
@@ -724,7 +726,8 @@
 
 /// Loads of the site nidosicuro-lb at a multiple of its normal rate.
 pub fn site_loads(factor: f64) -> Vec<Load> {
-    let class = |priority, objective_ms, timeout_ms| Class { priority, objective_ms, timeout_ms };
+    let class =
+        |priority, objective_ms, timeout_ms| Class { priority, objective_ms, timeout_ms, ..Class::default() };
     vec![
         Load {
             port: 443,
@@ -748,7 +751,8 @@
 /// Loads of the site sohar-sleeve: previews on lasting flows, and approvals at a multiple of
 /// their normal rate.
 pub fn lasting_loads(factor: f64) -> Vec<Load> {
-    let class = |priority, objective_ms, timeout_ms| Class { priority, objective_ms, timeout_ms };
+    let class =
+        |priority, objective_ms, timeout_ms| Class { priority, objective_ms, timeout_ms, ..Class::default() };
     vec![
         Load {
             port: 8443,
