--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,7 +23,7 @@
 | [`mix`] | recent traffic of each service by class |
 | [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
-| [`partition`] | resets of open flows to targets in partitioned zones |
+| [`stall`] | resets of open flows whose target no longer answers |
 | [`warm_up`] | limit of the requests that cold targets get from all instances |
 | [`evacuation`] | availability zones whose targets get no new flows |
 | [`outlier`] | ejection of targets that do not answer |
@@ -63,11 +63,11 @@
 pub mod mix;
 pub mod outlier;
 pub mod pacing;
-pub mod partition;
 pub mod peers;
 pub mod placement;
 pub mod report_interval;
 pub mod revision;
+pub mod stall;
 pub mod warm_up;
 
 use std::{net::SocketAddrV4, sync::Arc};
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -32,9 +32,9 @@
     mix::Mix,
     outlier::Outliers,
     pacing::Pacing,
-    partition::Partitions,
     peers::Peers,
     placement::{self, Candidate},
+    stall::Stalls,
     warm_up::{self, WarmUp},
 };
 use crate::time::Time;
@@ -43,6 +43,13 @@
 /// longer than scheduling delays, far shorter than a client's time-out.
 pub const PAUSE_MS: u64 = 500;
 
+/// Time without a tick from which on packets may wait here so long that clients repeat them, in
+/// milliseconds.
+const LAG_MS: u64 = 120;
+
+/// Time for which packets may be late after such a tick, in milliseconds.
+const LAG_RECOVERY_MS: u64 = 2_000;
+
 /// Time for which requests count whose flow the network fabric may have moved, as a multiple
 /// of the service's mean service time.
 const MOVED_FLOW_EXPIRY_MEANS: f32 = 2.0;
@@ -75,6 +82,8 @@
     pub seed: u64,
     /// Longest duration of a flow, in milliseconds.
     pub max_flow_lifetime_ms: u64,
+    /// Whether open flows of idempotent requests are reset whose target no longer answers.
+    pub resets_stalled: bool,
     /// What cold targets may get.
     pub warm_up: warm_up::Settings,
     /// Parameters of placement.
@@ -88,6 +97,7 @@
             zone: "zone".into(),
             seed: 1,
             max_flow_lifetime_ms: 60_000,
+            resets_stalled: false,
             warm_up: warm_up::Settings::default(),
             placement: placement::Settings::default(),
         }
@@ -111,7 +121,9 @@
     resumed: Option<Time>,
     /// Unreachable availability zones, with the time of their last message.
     unreachable: Vec<(Arc<str>, Time)>,
-    partitions: Partitions,
+    stalls: Stalls,
+    /// Last tick that was late.
+    lagged_at: Time,
     candidates: Vec<Candidate>,
     /// Last answer of each target to a client of this instance.
     last_answer: Vec<Time>,
@@ -166,7 +178,8 @@
             last_fleet_tick: Time(0),
             resumed: None,
             unreachable: Vec::new(),
-            partitions: Partitions::default(),
+            stalls: Stalls::default(),
+            lagged_at: Time(0),
             candidates: Vec::new(),
             last_answer: Vec::new(),
             notices: Vec::new(),
@@ -288,7 +301,7 @@
         }
         let destination = destination(index, target);
         let class = route.class;
-        if self.is_cut_off(now, packet, index, class) {
+        if self.is_unanswered(now, packet, index, class) {
             self.remove_record(FlowKey::of(packet.client, packet.address));
             return Verdict::Reset;
         }
@@ -327,6 +340,9 @@
         let gap_ms = self.last_tick.map_or(0, |last_tick| now.since(last_tick));
         self.last_tick = Some(now);
         self.started.get_or_insert(now);
+        if gap_ms >= LAG_MS {
+            self.lagged_at = now;
+        }
         if gap_ms >= PAUSE_MS {
             self.resume(now, gap_ms);
         }
@@ -404,7 +420,7 @@
         self.flows.clear();
         self.loads.clear();
         self.pacing.clear();
-        self.partitions.clear();
+        self.stalls.clear();
         self.peers.resume(now);
         self.resumed = Some(now);
     }
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -327,7 +327,7 @@
             slowness: self.loads.slowness(index, target.service),
             is_warming_up: now < target.warmed_up_at,
             is_same_zone: entry.zone == self.settings.zone,
-            is_ejected: is_unreachable || self.outliers.ejects(index, now),
+            is_ejected: is_unreachable || self.outliers.ejects(index, now) || self.is_stalled(now, index),
         }
     }
 }
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -1,7 +1,7 @@
 //! Requests on open flows: when they may start, and when the client's packets show that
 //! they are answered.
 
-use super::Forwarder;
+use super::{Forwarder, LAG_RECOVERY_MS};
 use crate::{
     relay::{
         Class, Kind, Packet, budget,
@@ -9,8 +9,8 @@
         flows::{Activity, Flow, FlowKey, IDLE_COUNTED_MS},
         gossip,
         pacing::Request,
-        partition,
         placement::Demand,
+        stall,
     },
     time::Time,
 };
@@ -78,31 +78,54 @@
         !admitted
     }
 
-    /// Whether a packet belongs to a request on an open flow whose target is in a partitioned
-    /// zone, and whose client may repeat it. Records the signs of such a partition.
-    pub(super) fn is_cut_off(&mut self, now: Time, packet: &Packet, index: usize, class: Class) -> bool {
+    /// Whether a packet belongs to a request on an open flow whose target no longer answers, and
+    /// whose client may repeat it.
+    pub(super) fn is_unanswered(&mut self, now: Time, packet: &Packet, index: usize, class: Class) -> bool {
         let Kind::Data { request: true, acked } = packet.kind else {
             return false;
         };
-        if self.unreachable.is_empty() || !class.is_idempotent {
+        if !self.settings.resets_stalled || !class.is_idempotent || self.is_lagging(now) {
             return false;
         }
-        let Some(target) = self.catalog.target(index) else {
+        let key = FlowKey::of(packet.client, packet.address);
+        let repeated = self.flows.get(key).filter(|flow| {
+            flow.activity == Activity::Running
+                && !flow.is_answered_by(acked)
+                && now.since(flow.started) >= stall::RETRANSMIT_MS
+        });
+        if let Some(started) = repeated.map(|flow| flow.started) {
+            self.stalls.record_repeated(index, key, started, now);
+        }
+        self.is_stalled(now, index) || self.is_cut_off(now, index)
+    }
+
+    /// Whether packets may have waited at this instance, so that clients repeat requests that
+    /// were answered.
+    fn is_lagging(&self, now: Time) -> bool {
+        self.resumed.is_some() || now.since(self.lagged_at) < LAG_RECOVERY_MS
+    }
+
+    /// Whether a target no longer answers.
+    pub(super) fn is_stalled(&self, now: Time, index: usize) -> bool {
+        self.settings.resets_stalled
+            && self.catalog.target(index).is_some_and(|target| {
+                let mean_ms = self.loads.mean_ms(target.service);
+                self.stalls.is_stalled(index, mean_ms, self.outliers.ejects(index, now), now)
+            })
+    }
+
+    /// Whether a target is in a partitioned zone.
+    fn is_cut_off(&self, now: Time, index: usize) -> bool {
+        let Some(zone) = self.catalog.target(index).map(|target| &target.record.entry.zone) else {
             return false;
         };
-        let zone = target.record.entry.zone.clone();
-        let Some(&(_, silent_since)) = self.unreachable.iter().find(|(name, _)| *name == zone) else {
+        let Some(&(_, silent_since)) = self.unreachable.iter().find(|(name, _)| name == zone) else {
             return false;
         };
-        if let Some(flow) = self.flows.get(FlowKey::of(packet.client, packet.address)) {
-            let is_repeated = flow.activity == Activity::Running
-                && !flow.is_answered_by(acked)
-                && now.since(flow.started) >= partition::RETRANSMIT_MS;
-            if is_repeated {
-                self.partitions.record_repeated(&zone, index, silent_since);
-            }
-        }
-        self.partitions.is_cut(&zone, silent_since)
+        let is_same_zone = |target: &usize| {
+            self.catalog.target(*target).is_some_and(|target| target.record.entry.zone == *zone)
+        };
+        self.stalls.is_cut_off((0..self.catalog.size()).filter(is_same_zone), silent_since, now)
     }
 
     /// Whether a packet with bytes of a request is the first one of it, on a flow that has a
@@ -263,9 +286,7 @@
             self.loads.sample(target, service, time_ms, now);
         }
         self.note_answer(target, now);
-        if let Some(known) = self.catalog.target(target) {
-            self.partitions.record_answer(&known.record.entry.zone, started);
-        }
+        self.stalls.record_answer(target, started);
     }
 
     /// Tells peers with the next report that this instance counts a flow from now on.
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -180,6 +180,7 @@
             Change::Restarted(index) => {
                 self.loads.reset(index);
                 self.outliers.reset(index);
+                self.stalls.reset(index);
                 self.start_cold(now, index);
             }
         }
