--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -35,6 +35,7 @@
     pub refused_full: Cell<u64>,
     pub refused_dropped: Cell<u64>,
     pub refused_unknown: Cell<u64>,
+    pub flows_reset: Cell<u64>,
     pub dropped: Cell<u64>,
     pub deferred: Cell<u64>,
     pub paced: Cell<u64>,
@@ -120,6 +121,7 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             seed: rand::random(),
+            resets_stalled: settings.resets_stalled,
             warm_up: settings.warm_up,
             max_flow_lifetime_ms: settings.max_flow_lifetime_ms,
             ..forwarder::Settings::default()
@@ -250,7 +252,7 @@
 type Metric = (&'static str, &'static str, u64);
 
 impl Shared {
-    fn counters(&self) -> [Metric; 16] {
+    fn counters(&self) -> [Metric; 17] {
         let counts = &self.counts;
         [
             ("packets_forwarded", "Packets sent to targets", counts.forwarded.get()),
@@ -266,6 +268,7 @@
                 "Flows refused as they had no route or no target",
                 counts.refused_unknown.get(),
             ),
+            ("flows_reset", "Open flows reset as their target no longer answers", counts.flows_reset.get()),
             ("packets_dropped", "Packets dropped", counts.dropped.get()),
             ("packets_parked", "Packets that were deferred or queued", counts.deferred.get()),
             ("requests_paced", "Requests on open flows that waited for their target", counts.paced.get()),
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -1,7 +1,7 @@
 //! Requests on open flows: when they may start, and when the client's packets show that
 //! they are answered.
 
-use super::Forwarder;
+use super::{Forwarder, LAG_RECOVERY_MS};
 use crate::{
     relay::{
         Class, Kind, Packet, budget,
@@ -10,6 +10,7 @@
         gossip,
         pacing::Request,
         placement::Demand,
+        stall,
     },
     time::Time,
 };
@@ -77,6 +78,56 @@
         !admitted
     }
 
+    /// Whether a packet belongs to a request on an open flow whose target no longer answers, and
+    /// whose client may repeat it.
+    pub(super) fn is_unanswered(&mut self, now: Time, packet: &Packet, index: usize, class: Class) -> bool {
+        let Kind::Data { request: true, acked } = packet.kind else {
+            return false;
+        };
+        if !self.settings.resets_stalled || !class.is_idempotent || self.is_lagging(now) {
+            return false;
+        }
+        let key = FlowKey::of(packet.client, packet.address);
+        let repeated = self.flows.get(key).filter(|flow| {
+            flow.activity == Activity::Running
+                && !flow.is_answered_by(acked)
+                && now.since(flow.started) >= stall::RETRANSMIT_MS
+        });
+        if let Some(started) = repeated.map(|flow| flow.started) {
+            self.stalls.record_repeated(index, key, started, now);
+        }
+        self.is_stalled(now, index) || self.is_cut_off(now, index)
+    }
+
+    /// Whether packets may have waited at this instance, so that clients repeat requests that
+    /// were answered.
+    fn is_lagging(&self, now: Time) -> bool {
+        self.resumed.is_some() || now.since(self.lagged_at) < LAG_RECOVERY_MS
+    }
+
+    /// Whether a target no longer answers.
+    pub(super) fn is_stalled(&self, now: Time, index: usize) -> bool {
+        self.settings.resets_stalled
+            && self.catalog.target(index).is_some_and(|target| {
+                let mean_ms = self.loads.mean_ms(target.service);
+                self.stalls.is_stalled(index, mean_ms, self.outliers.ejects(index, now), now)
+            })
+    }
+
+    /// Whether a target is in a partitioned zone.
+    fn is_cut_off(&self, now: Time, index: usize) -> bool {
+        let Some(zone) = self.catalog.target(index).map(|target| &target.record.entry.zone) else {
+            return false;
+        };
+        let Some(&(_, silent_since)) = self.unreachable.iter().find(|(name, _)| name == zone) else {
+            return false;
+        };
+        let is_same_zone = |target: &usize| {
+            self.catalog.target(*target).is_some_and(|target| target.record.entry.zone == *zone)
+        };
+        self.stalls.is_cut_off((0..self.catalog.size()).filter(is_same_zone), silent_since, now)
+    }
+
     /// Whether a packet with bytes of a request is the first one of it, on a flow that has a
     /// record here. The flow of another packet may have been placed by a peer just now, and
     /// its first request was admitted with it.
@@ -218,7 +269,8 @@
         let former = std::mem::replace(&mut flow.activity, Activity::Idle);
         flow.answers += 1;
         flow.expires = flow.last_active + IDLE_COUNTED_MS;
-        let (counted, time_ms) = (flow.target, now.since(flow.started));
+        let (counted, started) = (flow.target, flow.started);
+        let time_ms = now.since(started);
         let is_sample = flow.is_sample && flow.target == target;
         let (is_first, is_own) = (flow.answers == 1, flow.is_own);
         if is_first && is_own {
@@ -234,6 +286,7 @@
             self.loads.sample(target, service, time_ms, now);
         }
         self.note_answer(target, now);
+        self.stalls.record_answer(target, started);
     }
 
     /// Tells peers with the next report that this instance counts a flow from now on.
