Let the stand-in store return from a backup and refuse some callers

Tests of a restore need a store that loses writes, gives their revisions out again and names its era. Every response now has the header Store-Era, and a watch from a revision that the store does not have gets status 410, also if it was begun before the restore. Callers are refused by source address.

--- a/crates/ragwortlb-standin/src/packets/store.rs
+++ b/crates/ragwortlb-standin/src/packets/store.rs
@@ -2,10 +2,10 @@
 //! reads, watches and transactions over HTTP/1.1.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     convert::Infallible,
     io,
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -17,7 +17,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use percent_encoding::percent_decode_str;
@@ -38,14 +39,20 @@
     revision: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
     items: BTreeMap<String, Change>,
     history: Vec<Change>,
     revision: u64,
     compacted_revision: u64,
+    /// Number of restores; it is not part of a backup.
+    era: u32,
 }
 
+/// Copy of a store's keys, history and revision.
+#[derive(Clone, Debug)]
+pub struct Backup(State);
+
 impl State {
     fn write(&mut self, key: &str, value: Option<&[u8]>) -> u64 {
         self.revision += 1;
@@ -71,6 +78,7 @@
     state: Mutex<State>,
     changed: watch::Sender<u64>,
     down: AtomicBool,
+    refused: Mutex<HashSet<Ipv4Addr>>,
     calls: AtomicU64,
     transactions: AtomicU64,
 }
@@ -93,6 +101,7 @@
             state: Mutex::new(State { revision: 1, ..State::default() }),
             changed: watch::Sender::new(1),
             down: AtomicBool::new(false),
+            refused: Mutex::default(),
             calls: AtomicU64::new(0),
             transactions: AtomicU64::new(0),
         });
@@ -112,6 +121,27 @@
         self.inner.down.store(down, Ordering::Relaxed);
     }
 
+    /// Makes every call from these addresses fail with status 503, and no others.
+    pub fn refuse(&self, callers: &[Ipv4Addr]) {
+        *self.inner.refused.lock().unwrap_or_else(PoisonError::into_inner) =
+            callers.iter().copied().collect();
+    }
+
+    /// Copies the current state.
+    pub fn back_up(&self) -> Backup {
+        Backup(self.inner.lock().clone())
+    }
+
+    /// Returns from a backup, in the next era. Later writes are lost, and their revisions
+    /// are given to other writes.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = self.inner.lock();
+        *state = State { era: state.era + 1, ..backup.0.clone() };
+        let revision = state.revision;
+        drop(state);
+        self.inner.changed.send_replace(revision);
+    }
+
     /// Drops the history, so that watches from an earlier revision fail with status 410.
     pub fn compact(&self) {
         let mut state = self.inner.lock();
@@ -136,11 +166,11 @@
 }
 
 async fn accept(listener: TcpListener, inner: Arc<Inner>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    while let Ok((stream, caller)) = listener.accept().await {
         let inner = inner.clone();
         let service = service_fn(move |request| {
             let inner = inner.clone();
-            async move { Ok::<_, Infallible>(inner.answer(request).await) }
+            async move { Ok::<_, Infallible>(inner.answer(request, caller).await) }
         });
         tokio::spawn(async move {
             if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
@@ -150,9 +180,11 @@
     }
 }
 
-fn respond(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+/// Response of an era.
+fn respond(era: u32, status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
+    response.headers_mut().insert("Store-Era", HeaderValue::from(era));
     response
 }
 
@@ -178,10 +210,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    fn refuses(&self, caller: SocketAddr) -> bool {
+        let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        matches!(caller, SocketAddr::V4(caller) if refused.contains(caller.ip()))
+    }
+
+    async fn answer(&self, request: Request<Incoming>, caller: SocketAddr) -> Response<Full<Bytes>> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        if self.down.load(Ordering::Relaxed) {
-            return respond(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        if self.down.load(Ordering::Relaxed) || self.refuses(caller) {
+            return respond(self.lock().era, StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
@@ -189,7 +226,7 @@
             (&Method::GET, "/kv-range") => self.range(&parameters(&request)),
             (&Method::GET, "/kv-watch") => self.watch(&parameters(&request)).await,
             (&Method::POST, "/kv-txn") => self.transact(request).await,
-            _ => respond(StatusCode::NOT_FOUND, &json!({})),
+            _ => respond(self.lock().era, StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
@@ -207,6 +244,7 @@
         }
         let has_more = changes.peek().is_some();
         respond(
+            state.era,
             StatusCode::OK,
             &json!({"items": items, "hasMore": has_more, "storeRevision": state.revision}),
         )
@@ -216,35 +254,56 @@
         let number = |name: &str| parameters.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
         let mut changed = self.changed.subscribe();
-        if after < self.lock().compacted_revision {
-            return respond(StatusCode::GONE, &json!({}));
+        let has_revision = |state: &State| (state.compacted_revision..=state.revision).contains(&after);
+        let (era, is_known) = {
+            let state = self.lock();
+            (state.era, has_revision(&state))
+        };
+        if !is_known {
+            return respond(era, StatusCode::GONE, &json!({}));
         }
-        if tokio::time::timeout(wait, changed.wait_for(|revision| *revision > after)).await.is_err() {
+        let is_changed = |revision: &u64| *revision > after || self.lock().era != era;
+        if tokio::time::timeout(wait, changed.wait_for(is_changed)).await.is_err() {
             log::debug!("a watch timed out without a change");
         }
         let state = self.lock();
+        if !has_revision(&state) {
+            return respond(state.era, StatusCode::GONE, &json!({}));
+        }
         let events: Vec<Value> =
             state.history.iter().filter(|change| change.revision > after).map(item).collect();
-        respond(StatusCode::OK, &json!({"events": events, "storeRevision": state.revision}))
+        respond(state.era, StatusCode::OK, &json!({"events": events, "storeRevision": state.revision}))
     }
 
     fn key(&self, parameters: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
         let state = self.lock();
         match parameters.get("key").and_then(|key| state.items.get(key)) {
-            Some(change) => respond(StatusCode::OK, &item(change)),
-            None => respond(StatusCode::NOT_FOUND, &json!({"storeRevision": state.revision})),
+            Some(change) => respond(state.era, StatusCode::OK, &item(change)),
+            None => respond(state.era, StatusCode::NOT_FOUND, &json!({"storeRevision": state.revision})),
         }
     }
 
     async fn transact(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let body = match request.into_body().collect().await {
             Ok(body) => body.to_bytes(),
-            Err(error) => return respond(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()})),
+            Err(error) => {
+                return respond(
+                    self.lock().era,
+                    StatusCode::BAD_REQUEST,
+                    &json!({"error": error.to_string()}),
+                );
+            }
         };
         self.transactions.fetch_add(1, Ordering::Relaxed);
         let body: Value = match serde_json::from_slice(&body) {
             Ok(body) => body,
-            Err(error) => return respond(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()})),
+            Err(error) => {
+                return respond(
+                    self.lock().era,
+                    StatusCode::BAD_REQUEST,
+                    &json!({"error": error.to_string()}),
+                );
+            }
         };
         let mut state = self.lock();
         for write in body["writes"].as_array().into_iter().flatten() {
@@ -254,9 +313,9 @@
         for key in body["remove"].as_array().into_iter().flatten().filter_map(Value::as_str) {
             state.write(key, None);
         }
-        let revision = state.revision;
+        let (era, revision) = (state.era, state.revision);
         drop(state);
         self.changed.send_replace(revision);
-        respond(StatusCode::OK, &json!({"revision": revision}))
+        respond(era, StatusCode::OK, &json!({"revision": revision}))
     }
 }
