Treat lost entries as missing also if a peer reported the era

An instance that learned of the restore from a peer did not know when it happened: at its next call to the store it removed all missing targets, and told its peers so, although they still registered. So did an instance that started after the restore. The time at which the era became known now counts like the end of an outage, and a target of an earlier era is never gone at once.

A read of an earlier era was not applied, but its empty update was sent to peers, which took it for a confirmation; a watch with one also counted as a success.

--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -65,10 +65,17 @@
 }
 
 impl StoreState {
-    /// Returns whether a missing entry may have expired because of a store outage.
-    fn is_store_unstable(&self, now: Time) -> bool {
-        self.failed_at.is_some()
-            || (self.recovered_at > Time(0) && now.since(self.recovered_at) < catalog::REREGISTRATION_MS)
+    /// Returns whether a missing entry may have expired because of a store outage, or been lost
+    /// with a backup.
+    fn is_store_unstable(&self, era_began: Time, now: Time) -> bool {
+        let recovered = self.recovered(era_began);
+        self.failed_at.is_some() || (recovered > Time(0) && now.since(recovered) < catalog::REREGISTRATION_MS)
+    }
+
+    /// When targets could begin to register again: at the end of the last outage, or at the
+    /// start of the store's era, which a peer may have told this instance.
+    fn recovered(&self, era_began: Time) -> Time {
+        self.recovered_at.max(era_began)
     }
 
     fn record_failure(&mut self, now: Time, error: &eyre::Report) {
@@ -154,7 +161,10 @@
     }
     let revision = shared.forwarder.borrow().catalog().revision();
     match client.watch(revision, WATCH_WAIT).await? {
-        WatchResult::Reading(reading) => apply_watched(shared, store, reading),
+        WatchResult::Reading(reading) => {
+            check_era(shared, &reading)?;
+            apply_watched(shared, store, reading);
+        }
         WatchResult::Compacted => {
             log::info!("E742 the store compacted the revisions to watch; reading all keys");
             store.has_full_read = false;
@@ -174,16 +184,23 @@
     Ok(())
 }
 
+/// Fails if a peer has told this instance of a later era than that of a reading.
+fn check_era(shared: &Shared, reading: &Reading) -> Result<()> {
+    let known = shared.forwarder.borrow().catalog().target_revision();
+    match reading.revision.era < known.era {
+        true => Err(eyre!("a response of era {} after era {}", reading.revision.era, known.era)),
+        false => Ok(()),
+    }
+}
+
 /// Reads all keys of the store.
 async fn read_all(shared: &Shared, client: &mut Client, store: &mut StoreState) -> Result<()> {
     let freshness = if store.may_read_stale { Freshness::Stale } else { Freshness::Current };
     let reading = client.read(freshness).await?;
-    let known = shared.forwarder.borrow().catalog().target_revision();
-    if reading.revision.era < known.era {
-        return Err(eyre!("a response of era {} after era {}", reading.revision.era, known.era));
-    }
+    check_era(shared, &reading)?;
     // Targets and instances have to register again after a return from a backup, as after an
     // outage.
+    let known = shared.forwarder.borrow().catalog().target_revision();
     if reading.revision.era > known.era && known.is_some() {
         store.recovered_at = now();
     }
@@ -209,7 +226,7 @@
     let unlisted = shared.forwarder.borrow().catalog().unlisted(
         &present,
         reading.revision,
-        store.is_store_unstable(now),
+        store.is_store_unstable(shared.forwarder.borrow().era_began(), now),
     );
     let evacuated: Vec<Arc<str>> = reading
         .events
@@ -250,7 +267,7 @@
     is_announced: bool,
 ) {
     let now = now();
-    let store_unstable = store.is_store_unstable(now);
+    let store_unstable = store.is_store_unstable(shared.forwarder.borrow().era_began(), now);
     for revised in reading.events {
         collect(shared, revised, store_unstable, now, &mut result);
     }
@@ -314,7 +331,7 @@
         return;
     }
     let mut forwarder = shared.forwarder.borrow_mut();
-    let records = forwarder.catalog().unrecovered(store.recovered_at, now);
+    let records = forwarder.catalog().unrecovered(store.recovered(forwarder.era_began()), now);
     if records.is_empty() {
         return;
     }
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -472,22 +472,23 @@
     }
 
     /// Records that end the targets which a complete reading at a revision does not list.
-    /// They are gone, or missing if the store was unavailable.
+    /// They are gone, or missing if the store was unavailable or has lost their entries with a
+    /// backup.
     pub fn unlisted(&self, listed: &[Arc<str>], revision: Revision, store_unstable: bool) -> Vec<Record> {
-        let state = if store_unstable { State::Missing } else { State::Gone };
         let listed: HashSet<&Arc<str>> = listed.iter().collect();
         self.records()
-            .filter(|record| record.state < state && record.revision < revision)
-            .filter(|record| !listed.contains(&record.entry.name))
-            .map(|record| Record { entry: record.entry.clone(), state, revision })
+            .filter(|record| record.revision < revision && !listed.contains(&record.entry.name))
+            .map(|record| (record, ended_state(record, revision, store_unstable)))
+            .filter(|(record, state)| record.state < *state)
+            .map(|(record, state)| Record { entry: record.entry.clone(), state, revision })
             .collect()
     }
 
     /// Record that ends a target by name at a revision, or marks it missing if the store
-    /// was unavailable; none if the name is not known.
+    /// was unavailable or has lost its entry with a backup; none if the name is not known.
     pub fn removal(&self, name: &str, revision: Revision, store_unstable: bool) -> Option<Record> {
         let target = self.target(*self.by_name.get(name)?)?;
-        let state = if store_unstable { State::Missing } else { State::Gone };
+        let state = ended_state(&target.record, revision, store_unstable);
         Some(Record { entry: target.record.entry.clone(), state, revision })
     }
 
@@ -587,3 +588,10 @@
         }
     }
 }
+
+/// State of a target without an entry at a revision. If its last entry is of an earlier era,
+/// the store may have lost a later one with a backup, so the target may still run.
+fn ended_state(known: &Record, revision: Revision, store_unstable: bool) -> State {
+    let may_run = store_unstable || known.revision.era < revision.era;
+    if may_run { State::Missing } else { State::Gone }
+}
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -79,12 +79,13 @@
     ///
     /// The reading holds all that was written after the catalog's
     /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys. A reading of an
-    /// earlier era was answered too late and changes nothing.
+    /// earlier era was answered too late and changes nothing. It confirms nothing either, so its
+    /// update is empty, after [`Revision::NONE`], and must not be sent.
     pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
         let Reading { plan, observations, evacuations, revision } = reading;
         let after = self.catalog.target_revision();
         if revision.era < after.era {
-            return self.update(after, Vec::new());
+            return Update { evacuations: Vec::new(), ..self.update(Revision::NONE, Vec::new()) };
         }
         if let Some(plan) = plan {
             self.adopt(plan);
@@ -327,6 +328,12 @@
         }
     }
 
+    /// When this instance learned of the store's current era, from the store or from a peer; zero
+    /// in era zero. An instance that has just started cannot know whether the era is older.
+    pub fn era_began(&self) -> Time {
+        self.era_began
+    }
+
     /// Time since the store or its reader last confirmed that the targets are complete, in
     /// milliseconds. They confirm it also when nothing has changed.
     pub fn sync_age_ms(&self, now: Time) -> u64 {
