Give no new flows to missing targets that were draining

A draining target whose entry expired in an outage, or was lost with a backup, became missing, and missing targets get new flows.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -110,6 +110,11 @@
         Record { entry: self.record.entry.clone(), state, revision: record.revision }
     }
 
+    /// Whether it is draining, also if its entry has expired or was lost since.
+    fn is_draining(&self) -> bool {
+        self.record.state == State::Leaving || self.record.entry.leaving
+    }
+
     /// Order of targets by their start, the oldest first and those of unknown age last. The
     /// name makes it the same on every instance.
     fn seniority(&self) -> (bool, u64, &str) {
@@ -296,9 +301,10 @@
         ranked[target_range].iter().map(|(_, index)| *index).collect()
     }
 
-    /// Whether a target gets new flows.
+    /// Whether a target gets new flows. A missing one that was draining does not.
     pub fn takes_new(&self, target: &Target) -> bool {
-        matches!(target.record.state, State::Ready | State::Missing)
+        target.record.state != State::Gone
+            && !target.is_draining()
             && !self.evacuations.contains(&target.record.entry.zone)
     }
 
@@ -522,7 +528,7 @@
     /// Whether a service has targets, but all that would get new flows are in evacuated zones.
     pub fn is_evacuated(&self, service: usize) -> bool {
         let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
-        let mut running = targets.filter(|target| target.record.state != State::Leaving).peekable();
+        let mut running = targets.filter(|target| !target.is_draining()).peekable();
         running.peek().is_some() && running.all(|target| self.evacuations.contains(&target.record.entry.zone))
     }
 
