Take over the era of a plan that is read again

A plan that was written again with the same content kept the era in which it was read first. A plan of an era in between, with the same version, then replaced it, also at an instance that had read the store since. Guarded by version_given_out_twice.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -223,10 +223,19 @@
     /// replaces the one in effect.
     pub fn confirm_plan(&mut self, mark: Mark) {
         if !mark.plan.replaces(self.plan.id()) {
+            self.renew_plan(mark.plan);
             self.plan_revision = self.plan_revision.max(mark.revision);
         }
     }
 
+    /// Takes over the era of a plan that is the one in effect, read again after a return from a
+    /// backup. Another plan that had its version in between must not replace it.
+    fn renew_plan(&mut self, read: PlanId) {
+        if (read.version, read.digest) == (self.plan.version, self.plan.digest) {
+            self.plan.era = self.plan.era.max(read.era);
+        }
+    }
+
     /// Records that a list of all targets was applied to a catalog whose targets were complete
     /// up to the revision `before`, rather than each change since.
     pub fn record_skipped(&mut self, before: Revision) {
@@ -356,6 +365,7 @@
     /// Adopts a plan if it replaces the one in effect; returns whether it did.
     pub fn adopt(&mut self, plan: Plan) -> bool {
         if !plan.id().replaces(self.plan.id()) {
+            self.renew_plan(plan.id());
             return false;
         }
         for route_entry in self.routes.values_mut() {
