Count only current updates as confirmations of the targets

A late update, with a revision that the receiver has passed, counted as a confirmation and cleared the mark of a missed update. Two confirmations 1.8 s apart count as uninterrupted, but overdue targets were removed 1.5 s after they could have registered: an update from just before could suffice for a running target. They are now removed 1.9 s after.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -38,9 +38,10 @@
 /// in milliseconds. The operators state about two seconds.
 pub const REREGISTRATION_MS: u64 = 2_300;
 
-/// Time until an instance knows what the store reader has read, in milliseconds: an interval
-/// of the reader's calls, or a snapshot of a peer after a lost update.
-const NOTIFICATION_MS: u64 = 1_500;
+/// Time until an instance knows what the store reader has read, in milliseconds: the longest gap
+/// between two updates that counts as none, and a margin. With less, the last update before a
+/// target registered again could suffice to remove it.
+const NOTIFICATION_MS: u64 = 1_900;
 
 /// Ranges of skipped revisions that are kept; older ones are merged.
 const MAX_SKIPPED: usize = 8;
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -210,14 +210,15 @@
             return false;
         }
         let before = self.catalog.target_revision();
+        // A late update confirms nothing: later ones may have been lost since.
         let is_next = update.after <= before;
         for record in update.records {
             self.apply(record, now);
         }
         self.catalog.confirm_plan(update.plan_mark);
-        if is_next {
+        if is_next && update.revision >= before {
             self.advance_targets(update.revision, now);
-        } else if is_same_zone {
+        } else if !is_next && is_same_zone {
             self.is_behind = true;
         }
         is_reader && !is_same_zone && self.catalog.target_revision() > before
