Hold a restored evacuation key instead of ignoring it for good

A key of a later era with the number of a removed one was taken for that one for good. Numbers are given out again, so it may be a new evacuation, which then never took effect. It is now held for the 10 s in which operators repeat what was lost, and then counts if it still exists. The rule also applies to what peers report: one that did not know the removal undid it at those that did.

An instance that is not told of changes no longer ends a lost evacuation, as it cannot know whether the key was written again.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -265,13 +265,13 @@
         is_changed
     }
 
-    /// Ends evacuations of earlier eras; returns their zones.
-    pub fn end_lost_evacuations(&mut self) -> Vec<Arc<str>> {
-        let ended = self.evacuations.end_lost(self.target_revision.era);
-        if !ended.is_empty() {
+    /// Ends evacuations of earlier eras and starts those that are held; returns what changed.
+    pub fn settle_evacuations(&mut self) -> Vec<Evacuation> {
+        let changed = self.evacuations.settle(self.target_revision.era);
+        if !changed.is_empty() {
             self.list_version += 1;
         }
-        ended
+        changed
     }
 
     /// Plan in effect.
--- a/src/relay/evacuation.rs
+++ b/src/relay/evacuation.rs
@@ -11,7 +11,8 @@
 corrected by the next one, and completeness up to a revision plays no part.
 
 A store that returns from a backup may have lost the key, or show one again that was
-removed. Neither counts: see [`Evacuations::listed`] and [`Evacuations::end_lost`].
+removed. Neither counts until operators have had the time to repeat what was lost: see
+[`Evacuations::listed`] and [`Evacuations::settle`].
 
 # Example
 
@@ -41,7 +42,8 @@
 const MAX_ZONE_BYTES: usize = 200;
 
 /// Time for which an evacuation stays in effect whose key is lost with a backup of the
-/// store, in milliseconds: longer than operators take to write it again.
+/// store, and one out of effect whose removal is lost, in milliseconds: longer than operators
+/// take to repeat them.
 pub const REWRITE_MS: u64 = 10_000;
 
 /// Whether a zone is evacuated.
@@ -50,8 +52,10 @@
 pub struct Evacuation {
     /// Availability zone.
     pub zone: Arc<str>,
-    /// Whether it is evacuated; otherwise the evacuation has ended.
+    /// Whether it is evacuated; otherwise the evacuation has ended, or is held.
     pub is_active: bool,
+    /// Whether it was held and then started.
+    pub is_settled: bool,
     /// Store revision at which the key was written.
     pub written: Revision,
     /// Store revision of this state.
@@ -61,13 +65,21 @@
 impl Evacuation {
     /// Evacuation whose key was written at a revision.
     pub fn started(zone: Arc<str>, revision: Revision) -> Evacuation {
-        Evacuation { zone, is_active: true, written: revision, revision }
+        Evacuation { zone, is_active: true, is_settled: false, written: revision, revision }
     }
 
     /// Whether this state replaces another one of the same zone. At one revision an
-    /// evacuation that has ended is the later state.
+    /// evacuation that has ended or is held is the later state, and one that was held before
+    /// it started the last.
     fn replaces(&self, known: &Evacuation) -> bool {
-        (self.revision, !self.is_active) > (known.revision, !known.is_active)
+        let order = |state: &Evacuation| (state.revision, state.is_settled, !state.is_active);
+        order(self) > order(known)
+    }
+
+    /// Whether its key exists but does not count, as its removal was known before a restore.
+    /// An end that was read has a later revision than the key.
+    fn is_held(&self) -> bool {
+        !self.is_active && self.revision == self.written
     }
 }
 
@@ -109,26 +121,27 @@
         is_changed
     }
 
-    /// State that follows from a key in a list of all keys.
+    /// State that follows from a key in a list of all keys, or from a peer that has read one.
     ///
-    /// A key of a later era with the number of a known write is that write, restored from a
-    /// backup. If its removal is known, the zone stays in use.
+    /// A key of a later era with the number of a known write is taken for that write, restored
+    /// from a backup. If its removal is known, it is held: the zone stays in use until
+    /// [`settle`](Self::settle). It may also be another write that was given the same number.
     pub fn listed(&self, evacuation: Evacuation) -> Evacuation {
         match self.zones.get(&evacuation.zone) {
             Some(known)
                 if evacuation.revision.era > known.revision.era
                     && evacuation.written.number == known.written.number =>
             {
-                Evacuation { is_active: known.is_active, ..evacuation }
+                Evacuation { is_active: evacuation.is_active && known.is_active, ..evacuation }
             }
             _ => evacuation,
         }
     }
 
-    /// End of a zone's evacuation at a revision; none if it is not evacuated.
+    /// End of a zone's evacuation at a revision; none if it is neither evacuated nor held.
     pub fn ended(&self, zone: &str, revision: Revision) -> Option<Evacuation> {
-        let evacuation = self.zones.get(zone).filter(|evacuation| evacuation.is_active)?;
-        Some(Evacuation { is_active: false, revision, ..evacuation.clone() })
+        let evacuation = self.zones.get(zone).filter(|known| known.is_active || known.is_held())?;
+        Some(Evacuation { is_active: false, is_settled: false, revision, ..evacuation.clone() })
     }
 
     /// Ends of the evacuations that a read of all keys at a revision does not list. Those of
@@ -142,16 +155,22 @@
         self.iter().filter(is_removed).filter_map(|known| self.ended(&known.zone, revision)).collect()
     }
 
-    /// Ends evacuations of eras before the given one, as their keys were not written again;
-    /// returns the zones. To be called [`REWRITE_MS`] after the era began.
-    pub fn end_lost(&mut self, era: u32) -> Vec<Arc<str>> {
-        let is_lost = |evacuation: &&mut Evacuation| evacuation.is_active && evacuation.revision.era < era;
-        let mut ended = Vec::new();
-        for evacuation in self.zones.values_mut().filter(is_lost) {
-            evacuation.is_active = false;
-            ended.push(evacuation.zone.clone());
+    /// Ends evacuations of eras before the given one, as their keys were not written again, and
+    /// starts those of the era that are held, as their keys were not removed again. Returns what
+    /// changed. To be called [`REWRITE_MS`] after the era began.
+    pub fn settle(&mut self, era: u32) -> Vec<Evacuation> {
+        let mut changed = Vec::new();
+        for evacuation in self.zones.values_mut() {
+            if evacuation.is_active && evacuation.revision.era < era {
+                evacuation.is_active = false;
+            } else if evacuation.is_held() && evacuation.revision.era == era {
+                (evacuation.is_active, evacuation.is_settled) = (true, true);
+            } else {
+                continue;
+            }
+            changed.push(evacuation.clone());
         }
-        ended
+        changed
     }
 
     /// Removes the oldest ended evacuations beyond [`MAX_ZONES`], and active ones only if
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -353,7 +353,7 @@
         self.update_zones(now);
         self.catalog.forget(now, self.settings.max_flow_lifetime_ms);
         self.end_overdue(now);
-        self.end_lost_evacuations(now);
+        self.settle_evacuations(now);
         self.update_evacuated();
     }
 
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -149,15 +149,25 @@
         }
     }
 
-    /// Ends evacuations whose keys were lost with a backup and not written again.
-    pub(super) fn end_lost_evacuations(&mut self, now: Time) {
-        if now.since(self.era_began) < evacuation::REWRITE_MS {
+    /// Applies the state of a zone's evacuation at a peer. The peer may have read a restored
+    /// key without knowing its removal.
+    fn apply_peer_evacuation(&mut self, evacuation: Evacuation, now: Time) {
+        self.apply_evacuation(self.catalog.evacuations().listed(evacuation), now);
+    }
+
+    /// Ends evacuations whose keys were lost with a backup and not written again, and starts
+    /// those whose removal was lost and not repeated. An instance that is not told of changes
+    /// cannot know whether they were.
+    pub(super) fn settle_evacuations(&mut self, now: Time) {
+        let is_synced = now.since(self.synced_at) < MAX_SYNC_GAP_MS;
+        if !is_synced || now.since(self.era_began.max(self.synced_since)) < evacuation::REWRITE_MS {
             return;
         }
-        let revision = self.catalog.target_revision();
-        for zone in self.catalog.end_lost_evacuations() {
-            self.suspect_zone(&zone, now);
-            self.notices.push(Notice::EvacuationChanged { zone, is_active: false, revision });
+        for Evacuation { zone, is_active, revision, .. } in self.catalog.settle_evacuations() {
+            if !is_active {
+                self.suspect_zone(&zone, now);
+            }
+            self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
         }
     }
 
@@ -198,7 +208,7 @@
     /// store applies them and passes them on.
     pub fn apply_update(&mut self, update: Update, zone: &str, now: Time) -> bool {
         for evacuation in update.evacuations {
-            self.apply_evacuation(evacuation, now);
+            self.apply_peer_evacuation(evacuation, now);
         }
         // The sender does not know yet that the store has returned from a backup.
         if update.revision.era < self.catalog.target_revision().era {
@@ -268,7 +278,7 @@
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Time) {
         self.adopt(snapshot.plan);
         for evacuation in snapshot.evacuations {
-            self.apply_evacuation(evacuation, now);
+            self.apply_peer_evacuation(evacuation, now);
         }
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
