Send evacuations in each part of an update, and do not lower its requirement

The evacuations had a part of their own. A receiver of the other parts advanced without them; if the store reader then ended, it did not read them again, and any_survivor in tests/relay_eras.rs failed.

The parts of an update with ends of missing targets required the revision of the records before, which is lower than that of the update. A receiver that lacked later records then counted as complete.

--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -44,10 +44,10 @@
 /// Longest snapshot, in bytes: twice the largest value in the platform's store.
 pub const MAX_SNAPSHOT_BYTES: usize = 2 * 1024 * 1024;
 
-/// Bytes of evacuations in one datagram.
-const MAX_EVACUATIONS_BYTES: usize = 1_200;
+/// Bytes of evacuations in one datagram: what the longest record leaves of it.
+const MAX_EVACUATIONS_BYTES: usize = 500;
 
-/// Bytes of records in one datagram.
+/// Bytes of records and evacuations in one datagram, unless one record is longer.
 const MAX_RECORDS_BYTES: usize = 1_200;
 
 /// Flows and failures of one target, as the sender counts them.
@@ -297,21 +297,30 @@
 /// Splits an update into parts that each fit into a datagram. Each part ends at the
 /// revision that the next one requires, so a lost part shows as a gap. If records of one
 /// revision do not fit into a datagram, the result has no records and requires its own
-/// revision; receivers then see a gap and fetch a snapshot. Evacuations have a part of their
-/// own beside records.
+/// revision; receivers then see a gap and fetch a snapshot. Each part carries the evacuations: an
+/// instance that advances without them would not read them again.
 pub fn split(update: Update) -> Vec<Update> {
     let Update { mut after, revision, plan_mark, evacuations, mut records } = update;
-    let part =
-        |after, revision, records| Update { after, revision, plan_mark, evacuations: Vec::new(), records };
+    let evacuations = fitting(evacuations);
+    let max_bytes = MAX_RECORDS_BYTES - evacuations.iter().filter_map(size).sum::<usize>();
+    let part = |after, revision, records| Update {
+        after,
+        revision,
+        plan_mark,
+        evacuations: evacuations.clone(),
+        records,
+    };
     records.sort_by_key(|record| record.revision);
     let mut parts = Vec::new();
     let mut batch = Vec::new();
     let mut bytes = 0;
     for record in records {
         let size = size(&record).unwrap_or(MAX_RECORDS_BYTES);
-        if bytes + size > MAX_RECORDS_BYTES && !batch.is_empty() {
-            let reached = batch.last().map_or(after, |last: &Record| last.revision);
-            if reached == record.revision {
+        if bytes + size > max_bytes && !batch.is_empty() {
+            // Records up to the required revision, such as ends of missing targets, must not
+            // lower it: a receiver that lacks later ones would count as complete.
+            let reached = batch.last().map_or(after, |last: &Record| last.revision.max(after));
+            if reached == record.revision && reached > after {
                 (parts, batch, after) = (Vec::new(), Vec::new(), revision);
                 break;
             }
@@ -322,14 +331,7 @@
         bytes += size;
         batch.push(record);
     }
-    let has_records = !batch.is_empty();
     parts.push(part(after, revision, batch));
-    if has_records && !evacuations.is_empty() {
-        parts.push(part(revision, revision, Vec::new()));
-    }
-    if let Some(last) = parts.last_mut() {
-        last.evacuations = fitting(evacuations);
-    }
     parts
 }
 
