--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -38,9 +38,10 @@
 /// in milliseconds. The operators state about two seconds.
 pub const REREGISTRATION_MS: u64 = 2_300;
 
-/// Time until an instance knows what the store reader has read, in milliseconds: an interval
-/// of the reader's calls, or a snapshot of a peer after a lost update.
-const NOTIFICATION_MS: u64 = 1_500;
+/// Time until an instance knows what the store reader has read, in milliseconds: the longest gap
+/// between two updates that counts as none, and a margin. With less, the last update before a
+/// target registered again could suffice to remove it.
+const NOTIFICATION_MS: u64 = 1_900;
 
 /// Ranges of skipped revisions that are kept; older ones are merged.
 const MAX_SKIPPED: usize = 8;
@@ -110,6 +111,11 @@
         Record { entry: self.record.entry.clone(), state, revision: record.revision }
     }
 
+    /// Whether it is draining, also if its entry has expired or was lost since.
+    fn is_draining(&self) -> bool {
+        self.record.state == State::Leaving || self.record.entry.leaving
+    }
+
     /// Order of targets by their start, the oldest first and those of unknown age last. The
     /// name makes it the same on every instance.
     fn seniority(&self) -> (bool, u64, &str) {
@@ -218,10 +224,19 @@
     /// replaces the one in effect.
     pub fn confirm_plan(&mut self, mark: Mark) {
         if !mark.plan.replaces(self.plan.id()) {
+            self.renew_plan(mark.plan);
             self.plan_revision = self.plan_revision.max(mark.revision);
         }
     }
 
+    /// Takes over the era of a plan that is the one in effect, read again after a return from a
+    /// backup. Another plan that had its version in between must not replace it.
+    fn renew_plan(&mut self, read: PlanId) {
+        if (read.version, read.digest) == (self.plan.version, self.plan.digest) {
+            self.plan.era = self.plan.era.max(read.era);
+        }
+    }
+
     /// Records that a list of all targets was applied to a catalog whose targets were complete
     /// up to the revision `before`, rather than each change since.
     pub fn record_skipped(&mut self, before: Revision) {
@@ -250,13 +265,13 @@
         is_changed
     }
 
-    /// Ends evacuations of earlier eras; returns their zones.
-    pub fn end_lost_evacuations(&mut self) -> Vec<Arc<str>> {
-        let ended = self.evacuations.end_lost(self.target_revision.era);
-        if !ended.is_empty() {
+    /// Ends evacuations of earlier eras and starts those that are held; returns what changed.
+    pub fn settle_evacuations(&mut self) -> Vec<Evacuation> {
+        let changed = self.evacuations.settle(self.target_revision.era);
+        if !changed.is_empty() {
             self.list_version += 1;
         }
-        ended
+        changed
     }
 
     /// Plan in effect.
@@ -296,9 +311,10 @@
         ranked[target_range].iter().map(|(_, index)| *index).collect()
     }
 
-    /// Whether a target gets new flows.
+    /// Whether a target gets new flows. A missing one that was draining does not.
     pub fn takes_new(&self, target: &Target) -> bool {
-        matches!(target.record.state, State::Ready | State::Missing)
+        target.record.state != State::Gone
+            && !target.is_draining()
             && !self.evacuations.contains(&target.record.entry.zone)
     }
 
@@ -350,6 +366,7 @@
     /// Adopts a plan if it replaces the one in effect; returns whether it did.
     pub fn adopt(&mut self, plan: Plan) -> bool {
         if !plan.id().replaces(self.plan.id()) {
+            self.renew_plan(plan.id());
             return false;
         }
         for route_entry in self.routes.values_mut() {
@@ -472,22 +489,23 @@
     }
 
     /// Records that end the targets which a complete reading at a revision does not list.
-    /// They are gone, or missing if the store was unavailable.
+    /// They are gone, or missing if the store was unavailable or has lost their entries with a
+    /// backup.
     pub fn unlisted(&self, listed: &[Arc<str>], revision: Revision, store_unstable: bool) -> Vec<Record> {
-        let state = if store_unstable { State::Missing } else { State::Gone };
         let listed: HashSet<&Arc<str>> = listed.iter().collect();
         self.records()
-            .filter(|record| record.state < state && record.revision < revision)
-            .filter(|record| !listed.contains(&record.entry.name))
-            .map(|record| Record { entry: record.entry.clone(), state, revision })
+            .filter(|record| record.revision < revision && !listed.contains(&record.entry.name))
+            .map(|record| (record, ended_state(record, revision, store_unstable)))
+            .filter(|(record, state)| record.state < *state)
+            .map(|(record, state)| Record { entry: record.entry.clone(), state, revision })
             .collect()
     }
 
     /// Record that ends a target by name at a revision, or marks it missing if the store
-    /// was unavailable; none if the name is not known.
+    /// was unavailable or has lost its entry with a backup; none if the name is not known.
     pub fn removal(&self, name: &str, revision: Revision, store_unstable: bool) -> Option<Record> {
         let target = self.target(*self.by_name.get(name)?)?;
-        let state = if store_unstable { State::Missing } else { State::Gone };
+        let state = ended_state(&target.record, revision, store_unstable);
         Some(Record { entry: target.record.entry.clone(), state, revision })
     }
 
@@ -521,7 +539,7 @@
     /// Whether a service has targets, but all that would get new flows are in evacuated zones.
     pub fn is_evacuated(&self, service: usize) -> bool {
         let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
-        let mut running = targets.filter(|target| target.record.state != State::Leaving).peekable();
+        let mut running = targets.filter(|target| !target.is_draining()).peekable();
         running.peek().is_some() && running.all(|target| self.evacuations.contains(&target.record.entry.zone))
     }
 
@@ -587,3 +605,10 @@
         }
     }
 }
+
+/// State of a target without an entry at a revision. If its last entry is of an earlier era,
+/// the store may have lost a later one with a backup, so the target may still run.
+fn ended_state(known: &Record, revision: Revision, store_unstable: bool) -> State {
+    let may_run = store_unstable || known.revision.era < revision.era;
+    if may_run { State::Missing } else { State::Gone }
+}
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -79,12 +79,13 @@
     ///
     /// The reading holds all that was written after the catalog's
     /// [`revision`](crate::relay::catalog::Catalog::revision), or all keys. A reading of an
-    /// earlier era was answered too late and changes nothing.
+    /// earlier era was answered too late and changes nothing. It confirms nothing either, so its
+    /// update is empty, after [`Revision::NONE`], and must not be sent.
     pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
         let Reading { plan, observations, evacuations, revision } = reading;
         let after = self.catalog.target_revision();
         if revision.era < after.era {
-            return self.update(after, Vec::new());
+            return Update { evacuations: Vec::new(), ..self.update(Revision::NONE, Vec::new()) };
         }
         if let Some(plan) = plan {
             self.adopt(plan);
@@ -148,15 +149,25 @@
         }
     }
 
-    /// Ends evacuations whose keys were lost with a backup and not written again.
-    pub(super) fn end_lost_evacuations(&mut self, now: Time) {
-        if now.since(self.era_began) < evacuation::REWRITE_MS {
+    /// Applies the state of a zone's evacuation at a peer. The peer may have read a restored
+    /// key without knowing its removal.
+    fn apply_peer_evacuation(&mut self, evacuation: Evacuation, now: Time) {
+        self.apply_evacuation(self.catalog.evacuations().listed(evacuation), now);
+    }
+
+    /// Ends evacuations whose keys were lost with a backup and not written again, and starts
+    /// those whose removal was lost and not repeated. An instance that is not told of changes
+    /// cannot know whether they were.
+    pub(super) fn settle_evacuations(&mut self, now: Time) {
+        let is_synced = now.since(self.synced_at) < MAX_SYNC_GAP_MS;
+        if !is_synced || now.since(self.era_began.max(self.synced_since)) < evacuation::REWRITE_MS {
             return;
         }
-        let revision = self.catalog.target_revision();
-        for zone in self.catalog.end_lost_evacuations() {
-            self.suspect_zone(&zone, now);
-            self.notices.push(Notice::EvacuationChanged { zone, is_active: false, revision });
+        for Evacuation { zone, is_active, revision, .. } in self.catalog.settle_evacuations() {
+            if !is_active {
+                self.suspect_zone(&zone, now);
+            }
+            self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
         }
     }
 
@@ -198,7 +209,7 @@
     /// store applies them and passes them on.
     pub fn apply_update(&mut self, update: Update, zone: &str, now: Time) -> bool {
         for evacuation in update.evacuations {
-            self.apply_evacuation(evacuation, now);
+            self.apply_peer_evacuation(evacuation, now);
         }
         // The sender does not know yet that the store has returned from a backup.
         if update.revision.era < self.catalog.target_revision().era {
@@ -210,14 +221,15 @@
             return false;
         }
         let before = self.catalog.target_revision();
+        // A late update confirms nothing: later ones may have been lost since.
         let is_next = update.after <= before;
         for record in update.records {
             self.apply(record, now);
         }
         self.catalog.confirm_plan(update.plan_mark);
-        if is_next {
+        if is_next && update.revision >= before {
             self.advance_targets(update.revision, now);
-        } else if is_same_zone {
+        } else if !is_next && is_same_zone {
             self.is_behind = true;
         }
         is_reader && !is_same_zone && self.catalog.target_revision() > before
@@ -267,7 +279,7 @@
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Time) {
         self.adopt(snapshot.plan);
         for evacuation in snapshot.evacuations {
-            self.apply_evacuation(evacuation, now);
+            self.apply_peer_evacuation(evacuation, now);
         }
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
@@ -328,6 +340,12 @@
         }
     }
 
+    /// When this instance learned of the store's current era, from the store or from a peer; zero
+    /// in era zero. An instance that has just started cannot know whether the era is older.
+    pub fn era_began(&self) -> Time {
+        self.era_began
+    }
+
     /// Time since the store or its reader last confirmed that the targets are complete, in
     /// milliseconds. They confirm it also when nothing has changed.
     pub fn sync_age_ms(&self, now: Time) -> u64 {
