--- a/crates/ragwortlbd/src/settings.rs
+++ b/crates/ragwortlbd/src/settings.rs
@@ -26,7 +26,7 @@
 };
 
 use ragwortlb::config::{
-    Diagnostic, Diagnostics, File,
+    Diagnostic, Diagnostics, File, Kind,
     document::{self, Entry, Tree, Value},
 };
 
@@ -113,6 +113,7 @@
         let tree = document::parse(&File::new(file, bytes)).map_err(Diagnostics::new)?;
         let Value::Map(entries) = &tree.value else {
             return Err(Diagnostics::new(vec![Diagnostic::at(
+                Kind::InvalidValue,
                 &tree.position,
                 "the settings are not a JSON object",
             )]));
@@ -121,12 +122,16 @@
         let mut diagnostics = Vec::new();
         for name in REQUIRED {
             if !entries.iter().any(|entry| &*entry.key == name) {
-                diagnostics.push(Diagnostic::at(&tree.position, format!("missing key {name:?}")));
+                diagnostics.push(Diagnostic::at(
+                    Kind::MissingKey,
+                    &tree.position,
+                    format!("missing key {name:?}"),
+                ));
             }
         }
         for entry in entries {
             if let Err(message) = settings.set(entry) {
-                diagnostics.push(Diagnostic::at(&entry.tree.position, message));
+                diagnostics.push(Diagnostic::at(Kind::InvalidValue, &entry.tree.position, message));
             }
         }
         settings.check_addresses(&tree, &mut diagnostics);
@@ -163,6 +168,7 @@
         let has_duplicate = own.iter().enumerate().any(|(i, address)| own[..i].contains(address));
         if has_duplicate {
             diagnostics.push(Diagnostic::at(
+                Kind::InvalidValue,
                 &tree.position,
                 "call_address, peer_address and operator_address must differ",
             ));
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,7 +13,8 @@
 2. [`merge`] merges the trees of a folder into one tree that records the origin of
    each value.
 3. [`check`] turns the merged tree into a typed [`Config`], or returns all
-   [`Diagnostic`]s.
+   [`Diagnostic`]s. Warnings, which do not make a folder invalid, are part of
+   [`Folder::review`] only.
 4. [`revision`] orders the accepted configurations.
 
 # Example
@@ -38,6 +39,7 @@
 pub mod merge;
 pub mod revision;
 mod schema;
+mod warnings;
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc};
 
@@ -66,42 +68,143 @@
     }
 }
 
-/// Error in a folder of documents.
+/// How serious a finding is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Severity {
+    /// The folder is invalid and is not accepted.
+    Error,
+    /// The folder is valid, but a part of it probably does not do what was intended.
+    Warning,
+}
+
+impl Severity {
+    /// Name in the output for programs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Severity::Error => "error",
+            Severity::Warning => "warning",
+        }
+    }
+}
+
+/// Kind of a finding. Each kind is either an error or a warning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Error: the folder or a document cannot be read as such.
+    InvalidDocument,
+    /// Error: a key is given twice in one map.
+    DuplicateKey,
+    /// Error: the schema does not have this key.
+    UnknownKey,
+    /// Error: a required key is missing.
+    MissingKey,
+    /// Error: a value or name has the wrong type, form or size.
+    InvalidValue,
+    /// Error: two entries use the same address or id.
+    Conflict,
+    /// Error: no service, or a service without targets.
+    NothingToServe,
+    /// Warning: a document sets a value that an earlier one has set already.
+    RepeatedValue,
+    /// Warning: an entry that changes nothing.
+    NoEffect,
+    /// Warning: later documents override everything that a document sets.
+    OverriddenDocument,
+    /// Warning: no target of a service gets new flows.
+    NoServingTarget,
+    /// Warning: an address that cannot be that of a single service or target.
+    UnusableAddress,
+    /// Warning: two limits of which one cannot take effect or interrupts what the other allows.
+    ContradictoryLimits,
+}
+
+impl Kind {
+    /// Severity of all findings of this kind.
+    pub fn severity(self) -> Severity {
+        match self {
+            Kind::InvalidDocument
+            | Kind::DuplicateKey
+            | Kind::UnknownKey
+            | Kind::MissingKey
+            | Kind::InvalidValue
+            | Kind::Conflict
+            | Kind::NothingToServe => Severity::Error,
+            Kind::RepeatedValue
+            | Kind::NoEffect
+            | Kind::OverriddenDocument
+            | Kind::NoServingTarget
+            | Kind::UnusableAddress
+            | Kind::ContradictoryLimits => Severity::Warning,
+        }
+    }
+
+    /// Name in the output for programs, which must stay.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::InvalidDocument => "invalid_document",
+            Kind::DuplicateKey => "duplicate_key",
+            Kind::UnknownKey => "unknown_key",
+            Kind::MissingKey => "missing_key",
+            Kind::InvalidValue => "invalid_value",
+            Kind::Conflict => "conflict",
+            Kind::NothingToServe => "nothing_to_serve",
+            Kind::RepeatedValue => "repeated_value",
+            Kind::NoEffect => "no_effect",
+            Kind::OverriddenDocument => "overridden_document",
+            Kind::NoServingTarget => "no_serving_target",
+            Kind::UnusableAddress => "unusable_address",
+            Kind::ContradictoryLimits => "contradictory_limits",
+        }
+    }
+}
+
+/// Error or warning about a folder of documents.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Diagnostic {
-    /// Location of the error; `None` if it concerns the folder as a whole.
+    /// Location of the finding; `None` if it concerns the folder as a whole.
     pub position: Option<Position>,
-    /// Description of the error.
+    /// Description of the finding.
     pub message: String,
+    /// Kind, which implies the severity.
+    pub kind: Kind,
 }
 
 impl Diagnostic {
-    /// Error at a location.
-    pub fn at(position: &Position, message: impl Into<String>) -> Diagnostic {
-        Diagnostic { position: Some(position.clone()), message: message.into() }
+    /// Finding at a location.
+    pub fn at(kind: Kind, position: &Position, message: impl Into<String>) -> Diagnostic {
+        Diagnostic { position: Some(position.clone()), message: message.into(), kind }
+    }
+
+    /// Finding about the folder as a whole.
+    pub fn folder(kind: Kind, message: impl Into<String>) -> Diagnostic {
+        Diagnostic { position: None, message: message.into(), kind }
     }
 
-    /// Error of the folder as a whole.
-    pub fn folder(message: impl Into<String>) -> Diagnostic {
-        Diagnostic { position: None, message: message.into() }
+    /// Severity of the finding.
+    pub fn severity(&self) -> Severity {
+        self.kind.severity()
     }
 }
 
 impl fmt::Display for Diagnostic {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.position {
-            Some(position) => write!(f, "{position}: {}", self.message),
-            None => write!(f, "folder: {}", self.message),
+            Some(position) => write!(f, "{position}: ")?,
+            None => write!(f, "folder: ")?,
         }
+        if self.severity() == Severity::Warning {
+            write!(f, "warning: ")?;
+        }
+        f.write_str(&self.message)
     }
 }
 
-/// All errors of a folder, in order of location.
+/// All findings about a folder, in order of location.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Diagnostics(pub Vec<Diagnostic>);
 
 impl Diagnostics {
-    /// Sorts the errors and removes duplicates.
+    /// Sorts the findings and removes duplicates.
     pub fn new(mut diagnostics: Vec<Diagnostic>) -> Diagnostics {
         diagnostics.sort();
         diagnostics.dedup();
@@ -144,6 +247,15 @@
     }
 }
 
+/// Result of a review: the configuration and all findings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Review {
+    /// Checked configuration; `None` if there are errors.
+    pub config: Option<Config>,
+    /// Errors and warnings, in order of location.
+    pub findings: Diagnostics,
+}
+
 /// Documents of one folder, in byte order of their names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Folder {
@@ -179,6 +291,27 @@
     pub fn check(&self) -> Result<Config, Diagnostics> {
         check::check(&self.merge()?)
     }
+
+    /// Checks the documents like [`Folder::check`], and also finds entries that have no
+    /// effect and limits that contradict each other.
+    ///
+    /// There are no warnings while a document cannot be parsed, as its effect on the
+    /// other documents is not known.
+    pub fn review(&self) -> Review {
+        let (merged, mut findings) = merge::merge_all(&self.files);
+        let mut config = None;
+        if let Some(merged) = &merged {
+            if findings.is_empty() {
+                match check::check(merged) {
+                    Ok(checked) => config = Some(checked),
+                    Err(Diagnostics(errors)) => findings.extend(errors),
+                }
+            }
+            findings.extend(merged.warnings.iter().cloned());
+            findings.extend(warnings::warnings(merged));
+        }
+        Review { config, findings: Diagnostics::new(findings) }
+    }
 }
 
 /// Priority class of the requests of a service.
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -9,7 +9,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use super::{
-    Config, Diagnostic, Diagnostics, Position, Service, Target, Urgency,
+    Config, Diagnostic, Diagnostics, Kind, Position, Service, Target, Urgency,
     document::Value,
     merge::{Branch, Item, Leaf, Merged},
 };
@@ -42,19 +42,19 @@
             let message = format!(
                 "service {name:?} has the same id, a hash of its name, as {other:?}; rename one of them"
             );
-            checker.diagnostics.push(Diagnostic::at(&branch.position, message));
+            checker.diagnostics.push(Diagnostic::at(Kind::Conflict, &branch.position, message));
         }
         if let Some(service) = checker.service(name, branch) {
             config.services.insert(name.clone(), service);
         }
     }
     if config.services.is_empty() && checker.diagnostics.is_empty() {
-        checker.diagnostics.push(Diagnostic::folder("no service in any document"));
+        checker.diagnostics.push(Diagnostic::folder(Kind::NothingToServe, "no service in any document"));
     }
     if checker.diagnostics.is_empty() { Ok(config) } else { Err(Diagnostics::new(checker.diagnostics)) }
 }
 
-fn branches<'a>(branch: &'a Branch, key: &str) -> Vec<(&'a Arc<str>, &'a Branch)> {
+pub(super) fn branches<'a>(branch: &'a Branch, key: &str) -> Vec<(&'a Arc<str>, &'a Branch)> {
     let Some(Item::Branch(child)) = branch.entries.get(key) else {
         return Vec::new();
     };
@@ -65,7 +65,7 @@
     child.entries.iter().filter_map(only_branches).collect()
 }
 
-fn leaf<'a>(branch: &'a Branch, key: &str) -> Option<&'a Leaf> {
+pub(super) fn leaf<'a>(branch: &'a Branch, key: &str) -> Option<&'a Leaf> {
     match branch.entries.get(key) {
         Some(Item::Leaf(leaf)) => Some(leaf),
         _ => None,
@@ -95,8 +95,11 @@
         }
         let targets = self.targets(name, branch);
         if branches(branch, "targets").is_empty() {
-            self.diagnostics
-                .push(Diagnostic::at(&branch.position, format!("service {name:?} has no targets")));
+            self.diagnostics.push(Diagnostic::at(
+                Kind::NothingToServe,
+                &branch.position,
+                format!("service {name:?} has no targets"),
+            ));
         }
         Some(Service {
             address: address?.0,
@@ -132,7 +135,11 @@
         let slots = number(branch, "slots");
         for (key, missing) in [("zone", zone.is_none()), ("slots", slots.is_none())] {
             if missing {
-                self.diagnostics.push(Diagnostic::at(&branch.position, format!("{owner} has no {key:?}")));
+                self.diagnostics.push(Diagnostic::at(
+                    Kind::MissingKey,
+                    &branch.position,
+                    format!("{owner} has no {key:?}"),
+                ));
             }
         }
         Some(Target {
@@ -146,7 +153,11 @@
 
     fn required_address(&mut self, owner: &str, branch: &Branch) -> Option<(SocketAddr, Position)> {
         let Some(leaf) = leaf(branch, "address") else {
-            self.diagnostics.push(Diagnostic::at(&branch.position, format!("{owner} has no \"address\"")));
+            self.diagnostics.push(Diagnostic::at(
+                Kind::MissingKey,
+                &branch.position,
+                format!("{owner} has no \"address\""),
+            ));
             return None;
         };
         let Value::String(text) = &leaf.value else {
@@ -166,27 +177,27 @@
     if let Some(first) = used.get(&address) {
         let message =
             format!("{owner} uses {address}, which {} already uses at {}", first.owner, first.position);
-        diagnostics.push(Diagnostic::at(position, message));
+        diagnostics.push(Diagnostic::at(Kind::Conflict, position, message));
         return;
     }
     used.insert(address, AddressUse { owner, position: position.clone() });
 }
 
-fn number(branch: &Branch, key: &str) -> Option<u64> {
+pub(super) fn number(branch: &Branch, key: &str) -> Option<u64> {
     match &leaf(branch, key)?.value {
         Value::Number(text) => text.parse().ok(),
         _ => None,
     }
 }
 
-fn text(branch: &Branch, key: &str) -> Option<Arc<str>> {
+pub(super) fn text(branch: &Branch, key: &str) -> Option<Arc<str>> {
     match &leaf(branch, key)?.value {
         Value::String(text) => Some(text.clone()),
         _ => None,
     }
 }
 
-fn flag(branch: &Branch, key: &str) -> bool {
+pub(super) fn flag(branch: &Branch, key: &str) -> bool {
     leaf(branch, key).is_some_and(|leaf| leaf.value == Value::Bool(true))
 }
 
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -9,7 +9,7 @@
 
 use jsonc_parser::{CollectOptions, ParseOptions, ast, common::Ranged, parse_to_ast};
 
-use super::{Diagnostic, File, MAX_FILE_BYTES, Position};
+use super::{Diagnostic, File, Kind, MAX_FILE_BYTES, Position};
 
 /// Value with its location.
 #[derive(Clone, Debug, PartialEq)]
@@ -93,7 +93,7 @@
     let start = Position { file: file.name.clone(), line: 1, column: 1 };
     if file.bytes.len() > MAX_FILE_BYTES {
         let message = format!("{} bytes, over the limit of {MAX_FILE_BYTES}", file.bytes.len());
-        return Err(vec![Diagnostic::at(&start, message)]);
+        return Err(vec![Diagnostic::at(Kind::InvalidDocument, &start, message)]);
     }
     let text = match std::str::from_utf8(&file.bytes) {
         Ok(text) => text,
@@ -105,11 +105,11 @@
         Ok(parsed) => parsed,
         Err(error) => {
             let at = lines.position(error.range().start);
-            return Err(vec![Diagnostic::at(&at, error.kind().to_string())]);
+            return Err(vec![Diagnostic::at(Kind::InvalidDocument, &at, error.kind().to_string())]);
         }
     };
     let Some(value) = parsed.value else {
-        return Err(vec![Diagnostic::at(&start, "the document is empty")]);
+        return Err(vec![Diagnostic::at(Kind::InvalidDocument, &start, "the document is empty")]);
     };
     let mut diagnostics = Vec::new();
     let tree = convert(&value, &lines, &mut diagnostics);
@@ -119,7 +119,7 @@
 fn not_utf8(file: &File, valid: usize) -> Diagnostic {
     let text = std::str::from_utf8(&file.bytes[..valid]).unwrap_or_default();
     let at = LineIndex::new(&file.name, text).position(valid);
-    Diagnostic::at(&at, "bytes that are not UTF-8")
+    Diagnostic::at(Kind::InvalidDocument, &at, "bytes that are not UTF-8")
 }
 
 fn convert(value: &ast::Value<'_>, lines: &LineIndex<'_>, diagnostics: &mut Vec<Diagnostic>) -> Tree {
@@ -148,8 +148,8 @@
         let position = lines.position(property.range.start);
         if let Some(first) = entries.iter().find(|entry| entry.key == key) {
             let line = first.position.line;
-            diagnostics
-                .push(Diagnostic::at(&position, format!("key {key:?} given twice, first on line {line}")));
+            let message = format!("key {key:?} given twice, first on line {line}");
+            diagnostics.push(Diagnostic::at(Kind::DuplicateKey, &position, message));
         }
         let tree = convert(&property.value, lines, diagnostics);
         entries.push(Entry { key, position, tree });
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use super::{
-    Diagnostic, Position,
+    Diagnostic, Kind, Position,
     document::{Entry, Tree, Value},
 };
 
@@ -73,7 +73,11 @@
     };
     for name in ["title", "author", "reason"] {
         if !entries.iter().any(|entry| &*entry.key == name) {
-            diagnostics.push(Diagnostic::at(&tree.position, format!("the document has no {name:?}")));
+            diagnostics.push(Diagnostic::at(
+                Kind::MissingKey,
+                &tree.position,
+                format!("the document has no {name:?}"),
+            ));
         }
     }
     for entry in entries.iter().filter(|entry| entry.tree.value == Value::Null) {
@@ -97,7 +101,7 @@
         (ValueType::OneOf(words), Value::String(text)) => {
             if !words.contains(&&**text) {
                 let message = format!("{text:?} is not one of {}", words.join(", "));
-                diagnostics.push(Diagnostic::at(&tree.position, message));
+                diagnostics.push(Diagnostic::at(Kind::InvalidValue, &tree.position, message));
             }
         }
         (ValueType::Number(bounds), Value::Number(text)) => {
@@ -114,7 +118,7 @@
             None => {
                 let names: Vec<_> = fields.iter().map(|field| field.name).collect();
                 let message = format!("unknown key {:?}, expected one of {}", entry.key, names.join(", "));
-                diagnostics.push(Diagnostic::at(&entry.position, message));
+                diagnostics.push(Diagnostic::at(Kind::UnknownKey, &entry.position, message));
             }
         }
     }
@@ -123,7 +127,7 @@
 fn check_map(entries: &[Entry], value_type: &ValueType, diagnostics: &mut Vec<Diagnostic>) {
     for entry in entries {
         if let Some(message) = bad_name(&entry.key) {
-            diagnostics.push(Diagnostic::at(&entry.position, message));
+            diagnostics.push(Diagnostic::at(Kind::InvalidValue, &entry.position, message));
         }
         check_value(&entry.tree, value_type, diagnostics);
     }
@@ -131,19 +135,21 @@
 
 fn check_text(text: &str, position: &Position, diagnostics: &mut Vec<Diagnostic>) {
     if text.trim().is_empty() {
-        diagnostics.push(Diagnostic::at(position, "the text is empty"));
+        diagnostics.push(Diagnostic::at(Kind::InvalidValue, position, "the text is empty"));
     }
 }
 
 fn check_address(text: &str, position: &Position, diagnostics: &mut Vec<Diagnostic>) {
     match text.parse::<SocketAddr>() {
         Ok(address) if address.port() == 0 => {
-            diagnostics.push(Diagnostic::at(position, format!("{text:?} has port 0")));
+            diagnostics.push(Diagnostic::at(Kind::InvalidValue, position, format!("{text:?} has port 0")));
         }
         Ok(_) => {}
-        Err(_) => {
-            diagnostics.push(Diagnostic::at(position, format!("{text:?} is not an IP address with a port")))
-        }
+        Err(_) => diagnostics.push(Diagnostic::at(
+            Kind::InvalidValue,
+            position,
+            format!("{text:?} is not an IP address with a port"),
+        )),
     }
 }
 
@@ -156,7 +162,7 @@
     let within = text.parse::<u64>().is_ok_and(|number| bounds.contains(&number));
     if !within {
         let message = format!("{text} is not a whole number from {} to {}", bounds.start(), bounds.end());
-        diagnostics.push(Diagnostic::at(position, message));
+        diagnostics.push(Diagnostic::at(Kind::InvalidValue, position, message));
     }
 }
 
@@ -180,5 +186,9 @@
 }
 
 fn wrong_type(tree: &Tree, expected: &str) -> Diagnostic {
-    Diagnostic::at(&tree.position, format!("expected {expected}, found {}", tree.value.kind()))
+    Diagnostic::at(
+        Kind::InvalidValue,
+        &tree.position,
+        format!("expected {expected}, found {}", tree.value.kind()),
+    )
 }
--- a/tests/config_folder.rs
+++ b/tests/config_folder.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use ragwortlb::config::{File, Folder, merge::Item};
+use ragwortlb::config::{Diagnostics, File, Folder, Severity, merge::Item};
 
 /// Parses documents separated by header lines: `== name`, `== name hex=..` to
 /// append a byte, or `== name size=..` to pad to a size.
@@ -32,6 +32,23 @@
     }
 }
 
+/// All findings of a review. Guards against warnings that make a folder invalid or
+/// change its configuration, and against errors that `check` does not report.
+fn review(folder: &Folder) -> String {
+    let review = folder.review();
+    let errors = review.findings.0.iter().filter(|finding| finding.severity() == Severity::Error);
+    let errors = Diagnostics(errors.cloned().collect());
+    match folder.check() {
+        Ok(config) => assert_eq!((review.config, errors.0.len()), (Some(config), 0)),
+        Err(expected) => assert_eq!((review.config, errors), (None, expected)),
+    }
+    let mut text = String::new();
+    for finding in &review.findings.0 {
+        let _ = writeln!(text, "{finding} [{}]", finding.kind.name());
+    }
+    if text.is_empty() { "clean\n".to_owned() } else { text }
+}
+
 fn merge(folder: &Folder) -> String {
     match folder.check() {
         Ok(config) => config.to_json() + "\n",
@@ -63,6 +80,7 @@
             let folder = folder(&case.input);
             match case.directive.as_str() {
                 "check" => check(&folder),
+                "review" => review(&folder),
                 "merge" => merge(&folder),
                 "explain" => explain(&folder, &case.args["path"][0]),
                 other => panic!("unknown directive {other}"),
