--- a/crates/ragwortlb-cli/src/commands.rs
+++ b/crates/ragwortlb-cli/src/commands.rs
@@ -6,7 +6,7 @@
 };
 
 use eyre::{Result, WrapErr, eyre};
-use ragwortlb::config::{Config, Diagnostics, Folder, document::Value, merge::Item, revision::Digest};
+use ragwortlb::config::{Config, Folder, document::Value, merge::Item, revision::Digest};
 use ragwortlb_rpc::store::{
     accept::{self, Accepted},
     fetch,
@@ -17,7 +17,7 @@
 
 use crate::{
     folder,
-    report::{self, Accept, Check, Difference, Explanation, Instance, Status},
+    report::{self, Accept, Check, Difference, Explanation, Finding, Instance, Status},
 };
 
 /// Time in which an instance must answer an HTTP request.
@@ -35,23 +35,50 @@
     folder.check().map_err(|diagnostics| eyre!("{diagnostics}"))
 }
 
-/// Validates a folder.
-pub fn check(dir: &Path, json: bool) -> Result<()> {
-    let folder = folder::read(dir)?;
-    let result: std::result::Result<Config, Diagnostics> = folder.check();
-    if json {
-        let report = match &result {
-            Ok(config) => Check { ok: true, services: config.services.len(), diagnostics: Vec::new() },
-            Err(diagnostics) => Check::from(diagnostics),
-        };
-        print_json(&report)?;
+/// Result of validating a folder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckResult {
+    /// Neither errors nor warnings.
+    Clean,
+    /// Warnings only.
+    Warnings,
+    /// At least one error.
+    Errors,
+}
+
+/// Validates a folder. A valid one is also compared with the revision that the store
+/// `against` has accepted, if it is given.
+pub async fn check(dir: &Path, against: Option<&str>, json: bool) -> Result<CheckResult> {
+    let review = folder::read(dir)?.review();
+    if !json && !review.findings.0.is_empty() {
+        eprintln!("{}", review.findings);
     }
-    let config = result.map_err(|diagnostics| eyre!("{diagnostics}"))?;
-    if !json {
+    let difference = match (against, &review.config) {
+        (Some(store), Some(config)) => Some(store_difference(store, config).await),
+        _ => None,
+    };
+    // The findings are printed also if the store does not answer.
+    let (difference, store_error) = match difference.transpose() {
+        Ok(difference) => (difference, None),
+        Err(error) => (None, Some(error)),
+    };
+    if json {
+        print_json(&Check::new(&review, difference))?;
+    } else if let Some(config) = &review.config {
         let targets: usize = config.services.values().map(|service| service.targets.len()).sum();
         println!("valid: {} services, {targets} targets", config.services.len());
+        if let Some(difference) = &difference {
+            print_difference(difference);
+        }
     }
-    Ok(())
+    if let Some(error) = store_error {
+        return Err(error);
+    }
+    Ok(match &review.config {
+        None => CheckResult::Errors,
+        Some(_) if review.findings.0.is_empty() => CheckResult::Clean,
+        Some(_) => CheckResult::Warnings,
+    })
 }
 
 /// Prints the merged configuration.
@@ -100,19 +127,27 @@
 /// Prints the difference between a folder and the accepted revision.
 pub async fn diff(store: &str, dir: &Path, json: bool) -> Result<()> {
     let config = validated(&folder::read(dir)?)?;
-    let store = HttpStore::new(store)?;
-    let (revision, accepted) = accepted_config(&store).await?;
-    let difference = difference(revision, &accepted, &config.to_json());
+    let difference = store_difference(store, &config).await?;
     if json {
         return print_json(&difference);
     }
+    print_difference(&difference);
+    Ok(())
+}
+
+fn print_difference(difference: &Difference) {
     if !difference.changed {
-        println!("no difference from revision {revision}");
+        println!("no difference from revision {}", difference.revision);
     }
     for line in &difference.lines {
         println!("{line}");
     }
-    Ok(())
+}
+
+/// Difference between a configuration and the accepted revision.
+async fn store_difference(store: &str, config: &Config) -> Result<Difference> {
+    let (revision, accepted) = accepted_config(&HttpStore::new(store)?).await?;
+    Ok(difference(revision, &accepted, &config.to_json()))
 }
 
 /// Number and canonical JSON of the accepted revision; zero and empty if there is none.
@@ -145,6 +180,11 @@
 pub async fn accept(store: &str, dir: &Path, change: Option<String>, json: bool) -> Result<()> {
     let folder = folder::read(dir)?;
     let config = validated(&folder)?;
+    // A valid folder has no errors, so all its findings are warnings.
+    let warnings = folder.review().findings;
+    if !warnings.0.is_empty() {
+        eprintln!("{warnings}");
+    }
     let store = HttpStore::new(store)?;
     let parent = fetch::head(&store).await?;
     let change = change.unwrap_or_else(|| new_change_id(&folder));
@@ -157,7 +197,13 @@
         Accepted::Superseded(head) => return Err(superseded(&store, head.revision, &config).await),
     };
     if json {
-        return print_json(&Accept { revision: head.revision, change: head.change.to_string(), made });
+        let warnings = warnings.0.iter().map(Finding::from).collect();
+        return print_json(&Accept {
+            revision: head.revision,
+            change: head.change.to_string(),
+            made,
+            warnings,
+        });
     }
     let verb = if made { "accepted as" } else { "unchanged, already" };
     println!("{verb} revision {} (change {})", head.revision, head.change);
--- a/crates/ragwortlb-cli/src/main.rs
+++ b/crates/ragwortlb-cli/src/main.rs
@@ -12,6 +12,7 @@
 
 use std::process::ExitCode;
 
+use commands::CheckResult;
 use options::Command;
 
 /// Exit code for a command that failed or was rejected.
@@ -20,6 +21,9 @@
 /// Exit code for an invalid command line.
 const EXIT_USAGE: u8 = 2;
 
+/// Exit code for a folder that is valid, but has warnings.
+const EXIT_WARNINGS: u8 = 3;
+
 fn main() -> ExitCode {
     let command = match options::command().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
@@ -29,7 +33,7 @@
         }
     };
     match run(command) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("{error:#}");
             ExitCode::from(EXIT_FAILURE)
@@ -38,14 +42,22 @@
 }
 
 #[tokio::main(flavor = "current_thread")]
-async fn run(command: Command) -> eyre::Result<()> {
+async fn run(command: Command) -> eyre::Result<ExitCode> {
     match command {
-        Command::Check { json, dir } => commands::check(&dir, json),
-        Command::Merge { dir } => commands::merge(&dir),
-        Command::Explain { json, dir, path } => commands::explain(&dir, &path, json),
-        Command::Diff { store, json, dir } => commands::diff(&store, &dir, json).await,
-        Command::Accept { store, json, change, dir } => commands::accept(&store, &dir, change, json).await,
-        Command::Status { store, json, instances } => commands::status(&store, &instances, json).await,
-        Command::Drain { json, instance } => commands::drain(&instance, json).await,
+        Command::Check { against, json, dir } => {
+            let result = commands::check(&dir, against.as_deref(), json).await?;
+            return Ok(match result {
+                CheckResult::Clean => ExitCode::SUCCESS,
+                CheckResult::Warnings => ExitCode::from(EXIT_WARNINGS),
+                CheckResult::Errors => ExitCode::from(EXIT_FAILURE),
+            });
+        }
+        Command::Merge { dir } => commands::merge(&dir)?,
+        Command::Explain { json, dir, path } => commands::explain(&dir, &path, json)?,
+        Command::Diff { store, json, dir } => commands::diff(&store, &dir, json).await?,
+        Command::Accept { store, json, change, dir } => commands::accept(&store, &dir, change, json).await?,
+        Command::Status { store, json, instances } => commands::status(&store, &instances, json).await?,
+        Command::Drain { json, instance } => commands::drain(&instance, json).await?,
     }
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/ragwortlb-cli/src/options.rs
+++ b/crates/ragwortlb-cli/src/options.rs
@@ -15,9 +15,12 @@
 #[derive(Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
-    /// Validate a folder of documents
+    /// Validate a folder of documents: exit code 1 for errors, 3 for warnings only
     #[bpaf(command)]
     Check {
+        /// URL of the platform's store; also show the difference from its accepted revision
+        #[bpaf(argument("URL"), optional)]
+        against: Option<String>,
         /// Print JSON
         json: bool,
         /// Folder of documents
--- a/crates/ragwortlb-cli/src/report.rs
+++ b/crates/ragwortlb-cli/src/report.rs
@@ -1,6 +1,6 @@
 //! Types of the JSON output, which scripts read: field names must stay.
 
-use ragwortlb::config::{Diagnostics, Position};
+use ragwortlb::config::{self, Position, Review, Severity};
 use serde::Serialize;
 
 /// Error in a document, with its location if it has one.
@@ -13,6 +13,37 @@
     message: String,
 }
 
+impl From<&config::Diagnostic> for Diagnostic {
+    fn from(diagnostic: &config::Diagnostic) -> Diagnostic {
+        Diagnostic {
+            file: diagnostic.position.as_ref().map(|position| position.file.to_string()),
+            line: diagnostic.position.as_ref().map(|position| position.line),
+            column: diagnostic.position.as_ref().map(|position| position.column),
+            message: diagnostic.message.clone(),
+        }
+    }
+}
+
+/// Error or warning, with its kind.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub struct Finding {
+    kind: &'static str,
+    severity: &'static str,
+    #[serde(flatten)]
+    diagnostic: Diagnostic,
+}
+
+impl From<&config::Diagnostic> for Finding {
+    fn from(diagnostic: &config::Diagnostic) -> Finding {
+        Finding {
+            kind: diagnostic.kind.name(),
+            severity: diagnostic.severity().name(),
+            diagnostic: Diagnostic::from(diagnostic),
+        }
+    }
+}
+
 /// Result of validating a folder.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -24,17 +55,26 @@
     /// Errors found.
     #[serde(rename = "faults")]
     pub diagnostics: Vec<Diagnostic>,
+    /// Errors and warnings, in order of location.
+    pub findings: Vec<Finding>,
+    /// Difference from the accepted revision; absent if it was not asked for or the
+    /// folder is not valid.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub difference: Option<Difference>,
 }
 
-impl From<&Diagnostics> for Check {
-    fn from(diagnostics: &Diagnostics) -> Check {
-        let diagnostic = |diagnostic: &ragwortlb::config::Diagnostic| Diagnostic {
-            file: diagnostic.position.as_ref().map(|position| position.file.to_string()),
-            line: diagnostic.position.as_ref().map(|position| position.line),
-            column: diagnostic.position.as_ref().map(|position| position.column),
-            message: diagnostic.message.clone(),
-        };
-        Check { ok: false, services: 0, diagnostics: diagnostics.0.iter().map(diagnostic).collect() }
+impl Check {
+    /// Report of a review.
+    pub fn new(review: &Review, difference: Option<Difference>) -> Check {
+        let findings = &review.findings.0;
+        let errors = findings.iter().filter(|finding| finding.severity() == Severity::Error);
+        Check {
+            ok: review.config.is_some(),
+            services: review.config.as_ref().map_or(0, |config| config.services.len()),
+            diagnostics: errors.map(Diagnostic::from).collect(),
+            findings: findings.iter().map(Finding::from).collect(),
+            difference,
+        }
     }
 }
 
@@ -79,6 +119,8 @@
     pub change: String,
     /// Whether this accept created the revision; false if it had the same documents.
     pub made: bool,
+    /// Warnings about the folder.
+    pub warnings: Vec<Finding>,
 }
 
 /// Accepted revision and the state of instances.
--- a/crates/ragwortlb-cli/tests/accept_race.rs
+++ b/crates/ragwortlb-cli/tests/accept_race.rs
@@ -1,5 +1,5 @@
 //! Runs the command-line tool against the stand-in store: accepts, concurrent accepts,
-//! lost answers, corrupt values and outages.
+//! lost answers, corrupt values and outages. Also checks folders, alone and against the store.
 
 use std::{
     fs,
@@ -132,3 +132,90 @@
     let explain = site.run(&["explain", site.dir(), "services.booking.targets.m1.slots"]).await;
     assert!(out(&explain).contains("slots = 4\nset at 10-site.jsonc:2\n"), "{}", out(&explain));
 }
+
+/// Document with one warning: its queue limit is longer than its deadline.
+fn document_with_warning() -> String {
+    document(3).replace(r#""targets""#, r#""queue_ms": 9000, "targets""#)
+}
+
+/// Guards against a script that takes warnings for errors or misses them, and against
+/// findings that are not in the JSON output.
+#[tokio::test(flavor = "multi_thread")]
+async fn check_findings() {
+    let site = Site::start("check-findings").await;
+    let clean = site.run(&["check", site.dir(), "--json"]).await;
+    let report: serde_json::Value = serde_json::from_str(&out(&clean)).unwrap();
+    assert_eq!(clean.status.code(), Some(0));
+    assert_eq!(report, serde_json::json!({"ok": true, "services": 1, "faults": [], "findings": []}));
+
+    fs::write(site.folder.join("10-site.jsonc"), document_with_warning()).unwrap();
+    let text = "queue_ms 9000 is longer than deadline_ms 5000 (default)";
+    let warned = site.run(&["check", site.dir()]).await;
+    assert_eq!(warned.status.code(), Some(3));
+    assert_eq!(out(&warned), "valid: 1 services, 1 targets\n");
+    assert!(err(&warned).contains("10-site.jsonc:2:21: warning: service \"booking\": "), "{}", err(&warned));
+    assert!(err(&warned).contains(text), "{}", err(&warned));
+    let warned = site.run(&["check", site.dir(), "--json"]).await;
+    assert_eq!(warned.status.code(), Some(3));
+    let report: serde_json::Value = serde_json::from_str(&out(&warned)).unwrap();
+    assert_eq!((&report["ok"], &report["faults"]), (&true.into(), &serde_json::json!([])));
+    let finding = &report["findings"][0];
+    assert_eq!((&finding["kind"], &finding["severity"]), (&"contradictory_limits".into(), &"warning".into()));
+    let location = (&finding["file"], &finding["line"], &finding["column"]);
+    assert_eq!(location, (&"10-site.jsonc".into(), &2.into(), &21.into()));
+    assert!(finding["message"].as_str().unwrap().contains(text), "{finding}");
+
+    fs::write(site.folder.join("20-error.jsonc"), "{}").unwrap();
+    let failed = site.run(&["check", site.dir(), "--json"]).await;
+    assert_eq!(failed.status.code(), Some(1));
+    let report: serde_json::Value = serde_json::from_str(&out(&failed)).unwrap();
+    assert_eq!((&report["ok"], report["faults"].as_array().unwrap().len()), (&false.into(), 3));
+    let severities: Vec<_> = report["findings"].as_array().unwrap().iter().map(|f| &f["severity"]).collect();
+    assert_eq!(severities, ["warning", "error", "error", "error", "warning"]);
+}
+
+/// Guards against a check that shows another difference than `diff`, that counts a
+/// difference as a finding, or that loses the findings when the store does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn check_against() {
+    let site = Site::start("check-against").await;
+    site.run(&["accept", site.dir(), "--change", "c1"]).await;
+    let same = site.run(&["check", site.dir(), "--against", &site.store]).await;
+    assert_eq!(same.status.code(), Some(0), "{}", err(&same));
+    assert_eq!(out(&same), "valid: 1 services, 1 targets\nno difference from revision 1\n");
+
+    site.write(5);
+    let changed = site.run(&["check", site.dir(), "--against", &site.store]).await;
+    let diff = site.run(&["diff", site.dir()]).await;
+    assert_eq!(changed.status.code(), Some(0), "{}", err(&changed));
+    assert_eq!(out(&changed), format!("valid: 1 services, 1 targets\n{}", out(&diff)));
+    let changed = site.run(&["check", site.dir(), "--against", &site.store, "--json"]).await;
+    let report: serde_json::Value = serde_json::from_str(&out(&changed)).unwrap();
+    let diff = site.run(&["diff", site.dir(), "--json"]).await;
+    assert_eq!(report["difference"], serde_json::from_str::<serde_json::Value>(&out(&diff)).unwrap());
+
+    fs::write(site.folder.join("10-site.jsonc"), document_with_warning()).unwrap();
+    store::set_faults(&site.store, &Faults { down: true, ..Faults::default() }).await.unwrap();
+    let failed = site.run(&["check", site.dir(), "--against", &site.store]).await;
+    assert_eq!(failed.status.code(), Some(1));
+    assert!(err(&failed).contains("queue_ms 9000") && err(&failed).contains("503"), "{}", err(&failed));
+}
+
+/// Guards against an accept that is refused because of a warning, or that hides it.
+#[tokio::test(flavor = "multi_thread")]
+async fn accept_with_warnings() {
+    let site = Site::start("accept-with-warnings").await;
+    fs::write(site.folder.join("10-site.jsonc"), document_with_warning()).unwrap();
+    let accepted = site.run(&["accept", site.dir(), "--change", "c1"]).await;
+    assert_eq!(accepted.status.code(), Some(0));
+    assert_eq!(out(&accepted), "accepted as revision 1 (change c1)\n");
+    assert!(err(&accepted).contains("warning: service \"booking\": queue_ms 9000"), "{}", err(&accepted));
+    let again = site.run(&["accept", site.dir(), "--change", "c1", "--json"]).await;
+    let report: serde_json::Value = serde_json::from_str(&out(&again)).unwrap();
+    assert_eq!((&report["made"], &report["warnings"][0]["severity"]), (&false.into(), &"warning".into()));
+
+    site.write(0);
+    let refused = site.run(&["accept", site.dir()]).await;
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(out(&site.run(&["status"]).await).contains("revision 1"));
+}
