Send the list of evacuations with each part of an update

The list had a part of its own after the records. An instance that lost only that part was complete up to the revision without the evacuation, and as the next store reader it continued from there and never read the key.

--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -47,6 +47,9 @@
 /// Bytes of evacuations in one datagram.
 const MAX_EVACUATIONS_BYTES: usize = 1_200;
 
+/// Bytes of evacuations beside records, which leaves room for the longest record.
+const MAX_EVACUATIONS_BYTES_BESIDE: usize = 400;
+
 /// Bytes of records in one datagram.
 const MAX_RECORDS_BYTES: usize = 1_200;
 
@@ -264,19 +267,32 @@
 /// Splits an update into parts that each fit into a datagram. Each part ends at the
 /// revision that the next one requires, so a lost part shows as a gap. If records of one
 /// revision do not fit into a datagram, the result has no records and requires its own
-/// revision; receivers then see a gap and fetch a snapshot. Evacuations have a part of their
-/// own beside records.
+/// revision; receivers then see a gap and fetch a snapshot. So does a list of evacuations that
+/// does not fit beside records. Each part has the list, as a receiver that lacks it must not
+/// become complete up to its revision: a reader would continue from there.
 pub fn split(update: Update) -> Vec<Update> {
     let Update { mut after, revision, plan_mark, evacuations, mut records } = update;
-    let part =
-        |after, revision, records| Update { after, revision, plan_mark, evacuations: Vec::new(), records };
+    let evacuation_bytes: usize =
+        evacuations.iter().map(|known| size(known).unwrap_or(MAX_EVACUATIONS_BYTES)).sum();
+    if evacuation_bytes > MAX_EVACUATIONS_BYTES_BESIDE && !records.is_empty() {
+        (after, records) = (revision, Vec::new());
+    }
+    let evacuations = fitting(evacuations);
+    let part = |after, revision, records| Update {
+        after,
+        revision,
+        plan_mark,
+        evacuations: evacuations.clone(),
+        records,
+    };
+    let max_bytes = MAX_RECORDS_BYTES - evacuation_bytes.min(MAX_EVACUATIONS_BYTES_BESIDE);
     records.sort_by_key(|record| record.revision);
     let mut parts = Vec::new();
     let mut batch = Vec::new();
     let mut bytes = 0;
     for record in records {
         let size = size(&record).unwrap_or(MAX_RECORDS_BYTES);
-        if bytes + size > MAX_RECORDS_BYTES && !batch.is_empty() {
+        if bytes + size > max_bytes && !batch.is_empty() {
             let reached = batch.last().map_or(after, |last: &Record| last.revision);
             if reached == record.revision {
                 (parts, batch, after) = (Vec::new(), Vec::new(), revision);
@@ -289,14 +305,7 @@
         bytes += size;
         batch.push(record);
     }
-    let has_records = !batch.is_empty();
     parts.push(part(after, revision, batch));
-    if has_records && !evacuations.is_empty() {
-        parts.push(part(revision, revision, Vec::new()));
-    }
-    if let Some(last) = parts.last_mut() {
-        last.evacuations = fitting(evacuations);
-    }
     parts
 }
 
