Treat a target as cold when a peer sees it answer after an ejection

Only the instance that got the answer treated the target as cold. The others ended their ejection with the peer's report and gave it its full share.

--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -367,10 +367,14 @@
             };
             let [running, idle] = [load.running, load.idle].map(|flows| flows.min(load::MAX_REPORTED_FLOWS));
             loads.push(load::Report { target, running, idle });
+            let was_ejected = self.outliers.ejects(target, now);
             self.outliers.record_peer(target, load.failures, now);
             if load.is_responsive {
                 self.outliers.record_peer_answer(target, now);
             }
+            if was_ejected && !self.outliers.ejects(target, now) {
+                self.suspect_restart(target, now);
+            }
         }
         for key in &report.moved {
             self.remove_moved(*key, now);
