Keep the requests to a cold target within the limit in all fleets

- Cells that share a range of targets, as with few targets, each used half of the limit: twelve cells with three targets got six times as much.
- Shares below one request a second were longer intervals, which do not keep instances from sending in the same second.
Shares are now whole requests, and rendezvous hashing selects the instances that have one.
- The first request on a flow that the fabric moved here did not wait, and instances of other cells used the share of a cell.
They now have a part of the limit of their own.
- New flows took the share before requests that waited on open flows, which then expired.
Waiting requests now have precedence.
- An instance that has just started divided by the few members that it knew.
- With cold targets only, flows were deferred and dropped without a reset; they are now queued for a short time and then refused.

--- a/crates/ragwortlbd/src/relay/packets.rs
+++ b/crates/ragwortlbd/src/relay/packets.rs
@@ -162,9 +162,10 @@
         }
         Verdict::Refuse(refusal) => {
             match refusal {
-                Refusal::WaitTooLong { .. } | Refusal::BudgetExhausted | Refusal::Evacuated => {
-                    increment(&shared.counts.refused_full)
-                }
+                Refusal::WaitTooLong { .. }
+                | Refusal::BudgetExhausted
+                | Refusal::TargetsCold
+                | Refusal::Evacuated => increment(&shared.counts.refused_full),
                 Refusal::RouteRemoved => increment(&shared.counts.refused_dropped),
             }
             decisions::refused(shared, packet, &refusal, waited_ms);
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -296,6 +296,12 @@
         ranked[target_range].iter().map(|(_, index)| *index).collect()
     }
 
+    /// Number of a service's targets that get new flows, which the cells divide.
+    pub fn placeable_targets(&self, service: usize) -> usize {
+        let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
+        targets.filter(|target| self.takes_new(target)).count()
+    }
+
     /// Whether a target gets new flows.
     pub fn takes_new(&self, target: &Target) -> bool {
         matches!(target.record.state, State::Ready | State::Missing)
--- a/src/relay/cells.rs
+++ b/src/relay/cells.rs
@@ -68,9 +68,22 @@
     /// Range of ranks, among a service's targets, that this cell uses. Several cells share
     /// a range if there are few targets.
     pub fn target_range(self, targets: usize) -> Range<usize> {
-        let parts = (targets / MIN_TARGETS).clamp(1, self.count);
+        let parts = self.parts(targets);
         let part = self.index * parts / self.count;
         let start = |part: usize| (part * targets).div_ceil(parts);
         start(part)..start(part + 1)
     }
+
+    /// Position of this cell among those that use the same range of targets, and their number.
+    pub fn sharing(self, targets: usize) -> (usize, usize) {
+        let parts = self.parts(targets);
+        let part = |index: usize| index * parts / self.count;
+        let shares_range = |index: &usize| part(*index) == part(self.index);
+        let position = (0..self.index).filter(shares_range).count();
+        (position, (0..self.count).filter(shares_range).count())
+    }
+
+    fn parts(self, targets: usize) -> usize {
+        (targets / MIN_TARGETS).clamp(1, self.count)
+    }
 }
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -143,6 +143,8 @@
     is_store_unreachable: bool,
     /// Targets of the cell, by service.
     cell_targets: Vec<Vec<usize>>,
+    /// Position among the cells that use the same targets, and their number, by service.
+    sharing_cells: Vec<(usize, usize)>,
     /// Cell and list version that they were computed for.
     cell_targets_for: Option<(Cell, u64)>,
 }
@@ -185,6 +187,7 @@
             evacuated_services: Vec::new(),
             is_store_unreachable: false,
             cell_targets: Vec::new(),
+            sharing_cells: Vec::new(),
             cell_targets_for: None,
         }
     }
@@ -366,6 +369,8 @@
         self.cell_targets_for = Some(basis);
         let cell = self.peers.cell();
         let services = 0..self.catalog.services();
+        let sharing_cells = |service| cell.sharing(self.catalog.placeable_targets(service));
+        self.sharing_cells = services.clone().map(sharing_cells).collect();
         self.cell_targets = services.map(|service| self.catalog.targets_in_cell(service, cell)).collect();
     }
 
--- a/src/relay/forwarder/cold.rs
+++ b/src/relay/forwarder/cold.rs
@@ -6,8 +6,9 @@
     relay::{
         Kind, Packet,
         catalog::Target,
+        flows::FlowKey,
         peers::Peers,
-        warm_up::{self, Bound},
+        warm_up::{self, Bound, Group},
     },
     time::Time,
 };
@@ -21,15 +22,47 @@
         if !is_cold || per_s <= 0.0 {
             return None;
         }
+        let own = Peers::key(&self.settings.name);
+        let key = u64::from(target.token.0);
         let known = self.peers.known_peers().count() + 1;
-        let instances =
-            warm_up::sharing_instances(self.peers.cell_peers() + 1, known, self.peers.cell().count);
-        Bound::new(per_s, self.settings.warm_up, instances)
+        if !self.cell_targets(target.service).contains(&index) {
+            let rank = self.peers.rendezvous_rank(key, own, false);
+            return Bound::new(per_s, self.settings.warm_up, Group::Others, known, rank);
+        }
+        let cell = self.peers.cell_peers() + 1;
+        let in_cell = warm_up::sharing_instances(cell, known, self.peers.cell().count);
+        let rank = match in_cell == cell {
+            true => self.peers.rendezvous_rank(key, own, true),
+            // Some members of the cell are cut off: all that are known decide.
+            false => self.peers.rendezvous_rank(key, own, false) * in_cell / known,
+        };
+        // Cells with the same targets take turns in the ranks.
+        let (position, sharing) = self.sharing_cells.get(target.service).copied().unwrap_or((0, 1));
+        let rank = rank * sharing + position;
+        Bound::new(per_s, self.settings.warm_up, Group::Cell, in_cell * sharing, rank)
     }
 
     /// Whether a target may get one more request of this instance now.
-    pub(super) fn admits_cold(&self, now: Time, index: usize, target: &Target) -> bool {
-        self.bound(now, index, target).is_none_or(|_| self.warm_up.admits(index, now))
+    fn admits_cold(&self, now: Time, index: usize, target: &Target) -> bool {
+        self.bound(now, index, target)
+            .is_none_or(|bound| !self.has_just_started(now) && self.warm_up.admits(index, bound, now))
+    }
+
+    /// Whether a target may get a new flow of this instance now. An instance that has just
+    /// started may not know most members yet, and its share would be too large.
+    pub(super) fn admits_new_cold(&self, now: Time, index: usize, target: &Target) -> bool {
+        self.bound(now, index, target)
+            .is_none_or(|bound| !self.has_just_started(now) && self.warm_up.admits_new(index, bound, now))
+    }
+
+    /// Whether a service has no target for a new flow now only because its cold targets have
+    /// got this instance's share.
+    pub(super) fn must_wait_for_cold(&self, now: Time, service: usize) -> bool {
+        self.cell_targets(service).iter().any(|index| {
+            self.catalog.target(*index).is_some_and(|target| {
+                self.catalog.takes_new(target) && !self.admits_new_cold(now, *index, target)
+            })
+        })
     }
 
     /// Counts a request to a target if it is cold.
@@ -69,14 +102,20 @@
 
     /// Whether a packet starts a request on an open flow for which its cold target has no room
     /// yet.
-    pub(super) fn must_wait_for_warm_up(&self, now: Time, packet: &Packet, index: usize) -> bool {
+    pub(super) fn must_wait_for_warm_up(&mut self, now: Time, packet: &Packet, index: usize) -> bool {
         let Kind::Data { request: true, acked } = packet.kind else {
             return false;
         };
-        // A process that shuts down must not keep packets.
-        !self.is_leaving
-            && self.starts_request(packet, acked)
-            && self.catalog.target(index).is_some_and(|target| !self.admits_cold(now, index, target))
+        // A process that shuts down must not keep packets. The fabric may move all flows of a
+        // target at once, so the first request of a flow without a record waits too.
+        let is_unknown = self.flows.get(FlowKey::of(packet.client, packet.address)).is_none();
+        let waits = !self.is_leaving
+            && (is_unknown || self.starts_request(packet, acked))
+            && self.catalog.target(index).is_some_and(|target| !self.admits_cold(now, index, target));
+        if waits {
+            self.warm_up.reserve(index, now);
+        }
+        waits
     }
 
     /// Number from zero to one that differs between instances and targets.
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -132,8 +132,9 @@
         match choice {
             Choice::Target(index) => self.place_on(now, opening, index, is_idle),
             Choice::NoTarget if self.note_evacuated(service) => Verdict::Refuse(Refusal::Evacuated),
-            Choice::NoTarget => Verdict::Defer(Deferral::Targets),
+            Choice::NoTarget if !self.must_wait_for_cold(now, service) => Verdict::Defer(Deferral::Targets),
             _ if now.since(opening.arrived) < self.queue_limit_ms(now, &demand) => Verdict::Queue,
+            Choice::NoTarget => Verdict::Refuse(Refusal::TargetsCold),
             Choice::WithinBudget(_) => Verdict::Refuse(Refusal::BudgetExhausted),
             Choice::WaitTooLong { wait_ms, limit_ms } => {
                 Verdict::Refuse(Refusal::WaitTooLong { wait_ms, limit_ms })
@@ -263,7 +264,7 @@
                 && self.catalog.target(*index).is_some_and(|target| {
                     target.record.state == State::Ready
                         && self.catalog.takes_new(target)
-                        && self.admits_cold(now, *index, target)
+                        && self.admits_new_cold(now, *index, target)
                 })
         })?;
         self.outliers.record_probe(found, now);
@@ -272,7 +273,7 @@
 
     /// Targets that new flows of a service are placed on: those of the cell, or all if the
     /// cell has none or they are not listed yet.
-    fn cell_targets(&self, service: usize) -> &[usize] {
+    pub(super) fn cell_targets(&self, service: usize) -> &[usize] {
         match self.cell_targets.get(service) {
             Some(cell_targets) if !cell_targets.is_empty() => cell_targets,
             _ => self.catalog.service_targets(service),
@@ -292,7 +293,7 @@
             let Some(target) = self.catalog.target(index) else {
                 continue;
             };
-            let may_use = self.catalog.takes_new(target) && self.admits_cold(now, index, target);
+            let may_use = self.catalog.takes_new(target) && self.admits_new_cold(now, index, target);
             if !may_use || Some(index) == avoid {
                 continue;
             }
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -38,6 +38,8 @@
     RouteRemoved,
     /// All targets of the service are in evacuated zones.
     Evacuated,
+    /// All targets are cold and have got this instance's share of requests.
+    TargetsCold,
     /// This instance has used its share of the spare capacity until the next reports.
     BudgetExhausted,
     /// The expected wait for a slot exceeds the limit of the class.
@@ -54,6 +56,7 @@
         match self {
             Refusal::RouteRemoved => f.write_str("route removed from the plan"),
             Refusal::Evacuated => f.write_str("all targets are in evacuated zones"),
+            Refusal::TargetsCold => f.write_str("share of the cold targets used up"),
             Refusal::BudgetExhausted => f.write_str("share of the spare capacity used up"),
             Refusal::WaitTooLong { wait_ms, limit_ms } => {
                 write!(f, "shortest wait {wait_ms:.0} ms, longest allowed {limit_ms:.0} ms")
--- a/src/relay/peers.rs
+++ b/src/relay/peers.rs
@@ -160,6 +160,17 @@
         self.cell_peers.len()
     }
 
+    /// Rank of an instance by rendezvous hashing of a key among the members of the own cell, or
+    /// among all known members, live or not.
+    pub fn rendezvous_rank(&self, key: u64, own: PeerId, in_cell: bool) -> usize {
+        let score = hash::draw(key, own);
+        let is_before = |peer: &&PeerId| hash::draw(key, **peer) > score;
+        match in_cell {
+            true => self.cell_peers.iter().filter(is_before).count(),
+            false => self.table.keys().filter(is_before).count(),
+        }
+    }
+
     /// Number of instances of the cell that no message has arrived from yet.
     pub fn unreported_cell_peers(&self) -> usize {
         let is_unheard =
