--- a/crates/ragwortlbd/src/relay/follow.rs
+++ b/crates/ragwortlbd/src/relay/follow.rs
@@ -241,6 +241,7 @@
     let is_reader = shared.forwarder.borrow().is_reader(now);
     let before = shared.forwarder.borrow().catalog().target_revision();
     let removed = forwarder::Reading {
+        is_list: true,
         observations: unlisted.into_iter().map(Observation::Record).collect(),
         evacuations: ended.into_iter().map(EvacuationChange::from).collect(),
         revision: reading.revision,
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -311,6 +311,12 @@
         ranked[target_range].iter().map(|(_, index)| *index).collect()
     }
 
+    /// Number of a service's targets that get new flows, which the cells divide.
+    pub fn placeable_targets(&self, service: usize) -> usize {
+        let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
+        targets.filter(|target| self.takes_new(target)).count()
+    }
+
     /// Whether a target gets new flows. A missing one that was draining does not.
     pub fn takes_new(&self, target: &Target) -> bool {
         target.record.state != State::Gone
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -26,6 +26,8 @@
     pub observations: Vec<Observation>,
     /// Evacuations that started or ended.
     pub evacuations: Vec<EvacuationChange>,
+    /// Whether it is a list of all keys.
+    pub is_list: bool,
     /// Store revision.
     pub revision: Revision,
 }
@@ -82,7 +84,7 @@
     /// earlier era was answered too late and changes nothing. It confirms nothing either, so its
     /// update is empty, after [`Revision::NONE`], and must not be sent.
     pub fn apply_reading(&mut self, reading: Reading, now: Time) -> Update {
-        let Reading { plan, observations, evacuations, revision } = reading;
+        let Reading { plan, observations, evacuations, is_list, revision } = reading;
         let after = self.catalog.target_revision();
         if revision.era < after.era {
             return Update { evacuations: Vec::new(), ..self.update(Revision::NONE, Vec::new()) };
@@ -111,7 +113,7 @@
         }
         self.advance(revision, now);
         self.confirm_after_pause();
-        self.update(after, records)
+        Update { is_list, ..self.update(after, records) }
     }
 
     /// Update for peers that know what was read up to the revision `after`.
@@ -119,6 +121,7 @@
         Update {
             after,
             revision: self.catalog.target_revision(),
+            is_list: false,
             plan_mark: self.catalog.plan_mark(),
             evacuations: self.catalog.evacuations().iter().cloned().collect(),
             records,
@@ -222,14 +225,19 @@
         }
         let before = self.catalog.target_revision();
         // A late update confirms nothing: later ones may have been lost since.
-        let is_next = update.after <= before;
+        let is_next = match update.is_list {
+            false => update.after <= before,
+            // It lacks the end of a target that is known here and not to its sender.
+            true => update.after == before && self.catalog.seen_revision() <= update.after,
+        };
+        let is_known = update.revision <= before;
         for record in update.records {
             self.apply(record, now);
         }
         self.catalog.confirm_plan(update.plan_mark);
         if is_next && update.revision >= before {
             self.advance_targets(update.revision, now);
-        } else if !is_next && is_same_zone {
+        } else if !is_next && !is_known && is_same_zone {
             self.is_behind = true;
         }
         is_reader && !is_same_zone && self.catalog.target_revision() > before
@@ -386,10 +394,14 @@
             };
             let [running, idle] = [load.running, load.idle].map(|flows| flows.min(load::MAX_REPORTED_FLOWS));
             loads.push(load::Report { target, running, idle });
+            let was_ejected = self.outliers.ejects(target, now);
             self.outliers.record_peer(target, load.failures, now);
             if load.is_responsive {
                 self.outliers.record_peer_answer(target, now);
             }
+            if was_ejected && !self.outliers.ejects(target, now) {
+                self.suspect_restart(target, now);
+            }
         }
         for key in &report.moved {
             self.remove_moved(*key, now);
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -156,6 +156,9 @@
     pub after: Revision,
     /// Revision that the receiver reaches with this update.
     pub revision: Revision,
+    /// Whether it follows from a list of all targets, so that it lacks the ends of targets that
+    /// the sender did not know. A receiver must then have reached `after` exactly.
+    pub is_list: bool,
     /// Plan of the sender. A receiver with an older plan has to fetch it.
     pub plan_mark: Mark,
     /// Evacuations that the sender knows, at most [`MAX_EVACUATIONS_BYTES`].
@@ -298,14 +301,20 @@
 /// revision that the next one requires, so a lost part shows as a gap. If records of one
 /// revision do not fit into a datagram, the result has no records and requires its own
 /// revision; receivers then see a gap and fetch a snapshot. Each part carries the evacuations: an
-/// instance that advances without them would not read them again.
+/// instance that advances without them would not read them again. If they do not fit, receivers
+/// see a gap too.
 pub fn split(update: Update) -> Vec<Update> {
-    let Update { mut after, revision, plan_mark, evacuations, mut records } = update;
+    let Update { mut after, revision, is_list, plan_mark, evacuations, mut records } = update;
+    let zones = evacuations.len();
     let evacuations = fitting(evacuations);
+    if evacuations.len() < zones {
+        (after, records) = (revision, Vec::new());
+    }
     let max_bytes = MAX_RECORDS_BYTES - evacuations.iter().filter_map(size).sum::<usize>();
     let part = |after, revision, records| Update {
         after,
         revision,
+        is_list,
         plan_mark,
         evacuations: evacuations.clone(),
         records,
--- a/tests/relay_news.rs
+++ b/tests/relay_news.rs
@@ -119,6 +119,7 @@
     Update {
         after: after.into(),
         revision: revision.into(),
+        is_list: false,
         plan_mark: mark(revision),
         evacuations: Vec::new(),
         records: Vec::new(),
