Find the pace of targets that have started or recovered from their answers

A target that had just started was used at an assumed factor of 1.6 on its service time, and one that recovered from an ejection got its full share after one probe. Each instance now limits the requests at a time of such a target by its answers, for services with a warm-up time in the plan. A target at its lowest limit gets trials, so that it is found once it is well. Log event E717, gauge ramping_targets.

--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// State of one instance. The six limiters are for lines about placed flows, refused
-/// flows, requests that waited, unanswered opening packets, peers and malformed values.
+/// State of one instance. The seven limiters are for lines about placed flows, refused
+/// flows, requests that waited, unanswered opening packets, ramps, peers and malformed values.
 pub(super) struct Shared {
     pub settings: Settings,
     pub forwarder: RefCell<Forwarder>,
@@ -100,6 +100,7 @@
     pub refusals: LineLimiter,
     pub waits: LineLimiter,
     pub unanswered: LineLimiter,
+    pub ramps: LineLimiter,
     pub peers: LineLimiter,
     pub malformed_values: LineLimiter,
     /// Notified when the catalog has changed, so that deferred and queued packets are decided
@@ -137,6 +138,7 @@
             refusals: LineLimiter::default(),
             waits: LineLimiter::default(),
             unanswered: LineLimiter::default(),
+            ramps: LineLimiter::default(),
             peers: LineLimiter::default(),
             malformed_values: LineLimiter::default(),
             state_changed: Notify::new(),
@@ -158,6 +160,7 @@
         self.peers.start_second(now(), "peers");
         self.malformed_values.start_second(now(), "malformed values");
         self.unanswered.start_second(now(), "targets that did not answer");
+        self.ramps.start_second(now(), "ramps of targets");
         let notices = self.forwarder.borrow_mut().take_notices();
         for notice in notices {
             match notice {
@@ -185,6 +188,13 @@
                 forwarder::Notice::ServiceEvacuated { service, is_evacuated: false } => {
                     log::info!(service:%; "E715 a service has targets outside evacuated zones again");
                 }
+                forwarder::Notice::RampStarted { target } if self.ramps.accept() => {
+                    log::info!(target:%; "E717 ramp-up of a target started; it gets few requests at a time");
+                }
+                forwarder::Notice::RampEnded { target, duration_ms } if self.ramps.accept() => {
+                    log::info!(target:%, duration_ms; "E717 ramp-up of a target ended; it keeps up at all its slots");
+                }
+                forwarder::Notice::RampStarted { .. } | forwarder::Notice::RampEnded { .. } => {}
                 forwarder::Notice::EraBegan { era, revision } => {
                     log::warn!(era, revision:%; "E716 the store has returned from a backup; what it lost stays in effect");
                     self.era_began.notify_one();
@@ -284,7 +294,7 @@
         ]
     }
 
-    fn gauges(&self) -> [Metric; 7] {
+    fn gauges(&self) -> [Metric; 8] {
         let forwarder = self.forwarder.borrow();
         [
             (
@@ -298,6 +308,11 @@
                 "Availability zones whose targets get no new flows",
                 forwarder.catalog().evacuations().iter().filter(|known| known.is_active).count() as u64,
             ),
+            (
+                "ramping_targets",
+                "Targets that have started or recovered and do not get their full share yet",
+                forwarder.ramping_targets() as u64,
+            ),
             ("plan_version", "Version of the plan in effect", forwarder.catalog().plan().version),
             ("open_flows", "Flows that this instance has seen recently", forwarder.open_flows() as u64),
             ("live_peers", "Live peers", forwarder.peers().live(now()).count() as u64),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -24,6 +24,7 @@
 | [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
 | [`warm_up`] | limit of the requests that cold targets get from all instances |
+| [`ramp`] | ramp-up of targets that have started or recovered, from how they answer |
 | [`evacuation`] | availability zones whose targets get no new flows |
 | [`outlier`] | ejection of targets that do not answer |
 | [`gossip`] | messages between instances and their encoding |
@@ -64,6 +65,7 @@
 pub mod pacing;
 pub mod peers;
 pub mod placement;
+pub mod ramp;
 pub mod report_interval;
 pub mod revision;
 pub mod warm_up;
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -9,6 +9,7 @@
 
 mod cold;
 mod opening;
+mod pace;
 mod request;
 mod sync;
 mod verdict;
@@ -34,6 +35,7 @@
     pacing::Pacing,
     peers::Peers,
     placement::{self, Candidate},
+    ramp::Ramp,
     warm_up::{self, WarmUp},
 };
 use crate::time::Time;
@@ -118,6 +120,9 @@
     mix: Mix,
     pacing: Pacing,
     warm_up: WarmUp,
+    ramp: Ramp,
+    /// Whether each target was ejected when that was last checked.
+    ejected: Vec<bool>,
     habits: Habits,
     move_detector: MoveDetector,
     /// Flows that the fabric has moved to this instance since the last report.
@@ -171,6 +176,8 @@
             mix: Mix::default(),
             pacing: Pacing::default(),
             warm_up: WarmUp::default(),
+            ramp: Ramp::default(),
+            ejected: Vec::new(),
             habits: Habits::default(),
             move_detector: MoveDetector::default(),
             moved: Vec::new(),
@@ -301,6 +308,7 @@
             self.suspect_restart(target, now);
         }
         self.outliers.record_answer(target, now);
+        self.update_ejected(target, now);
         if self.last_answer.len() <= target {
             self.last_answer.resize(target + 1, Time(0));
         }
@@ -329,7 +337,7 @@
         for expired in self.flows.expire(now) {
             self.loads.remove(expired.target, expired.activity);
             match expired.activity {
-                Activity::Opening => self.outliers.record_failure(expired.target, now),
+                Activity::Opening => self.note_failure(expired.target, now),
                 Activity::Running => self.loads.add(expired.target, Activity::Idle),
                 Activity::Idle => self.note_lost(&expired),
             }
@@ -355,6 +363,7 @@
         self.end_overdue(now);
         self.end_lost_evacuations(now);
         self.update_evacuated();
+        self.update_ramps(now);
     }
 
     /// Updates the lists of the cell's targets if the cell or the catalog has changed.
--- a/src/relay/forwarder/cold.rs
+++ b/src/relay/forwarder/cold.rs
@@ -7,6 +7,7 @@
         Kind, Packet,
         catalog::Target,
         peers::Peers,
+        ramp::Start,
         warm_up::{self, Bound},
     },
     time::Time,
@@ -32,12 +33,13 @@
         self.bound(now, index, target).is_none_or(|_| self.warm_up.admits(index, now))
     }
 
-    /// Counts a request to a target if it is cold.
+    /// Counts a request to a target if it is cold or has a ramp.
     pub(super) fn record_cold(&mut self, now: Time, index: usize) {
         let bound = self.catalog.target(index).and_then(|target| self.bound(now, index, target));
         if let Some(bound) = bound {
             self.warm_up.record(index, bound, now);
         }
+        self.ramp.record_use(index, now);
     }
 
     /// Starts the cold period of a target that has just started.
@@ -58,11 +60,13 @@
         }
     }
 
-    /// Treats the targets of a zone as cold until their next entries arrive.
-    pub(super) fn suspect_zone(&mut self, zone: &str, now: Time) {
+    /// Starts the ramps of a zone's targets when its evacuation has ended, and treats them as
+    /// cold until their next entries arrive.
+    pub(super) fn return_zone(&mut self, zone: &str, now: Time) {
         for index in 0..self.catalog.size() {
             if self.catalog.target(index).is_some_and(|target| &*target.record.entry.zone == zone) {
                 self.suspect_restart(index, now);
+                self.start_ramp(index, Start::Fresh, now);
             }
         }
     }
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddrV4;
 
-use super::{Deferral, Destination, Forwarder, Notice, Refusal, Verdict, destination};
+use super::{Deferral, Destination, Forwarder, Notice, Refusal, Verdict, destination, pace::Limits};
 use crate::{
     relay::{
         Class, Packet,
@@ -106,7 +106,7 @@
     }
 
     fn record_unanswered(&mut self, now: Time, packet: &Packet, target: usize) {
-        self.outliers.record_failure(target, now);
+        self.note_failure(target, now);
         if let Some(known) = self.catalog.target(target) {
             let name = known.record.entry.name.clone();
             let strikes = self.outliers.strikes(target);
@@ -122,8 +122,8 @@
         }
         let demand = self.demand(now, opening);
         let mut candidates = std::mem::take(&mut self.candidates);
-        self.collect_candidates(now, service, opening.avoid, &mut candidates);
-        let choice = self.choose(now, opening, &demand, &candidates);
+        self.collect_candidates(now, service, opening.avoid, Limits::Full, &mut candidates);
+        let choice = self.choose(now, opening, &demand, &mut candidates);
         let found = candidates.iter().find(|candidate| choice == Choice::Target(candidate.target));
         let is_idle = found.is_some_and(|candidate| candidate.running < candidate.slots)
             && !self.has_just_started(now)
@@ -156,13 +156,27 @@
         }
     }
 
-    fn choose(&mut self, now: Time, opening: &Opening, demand: &Demand, candidates: &[Candidate]) -> Choice {
+    fn choose(
+        &mut self,
+        now: Time,
+        opening: &Opening,
+        demand: &Demand,
+        candidates: &mut Vec<Candidate>,
+    ) -> Choice {
         let may_probe =
             opening.copy == 0 && self.mix.is_least_urgent(opening.service, opening.class.priority);
         if may_probe && let Some(target) = self.probe_target(now, opening.service) {
             return Choice::Target(target);
         }
-        match self.settings.placement.choose(demand, candidates, &mut self.random) {
+        if may_probe && let Some(target) = self.trial_target(now, opening.service, opening.avoid) {
+            return Choice::Target(target);
+        }
+        let mut choice = self.settings.placement.choose(demand, candidates, &mut self.random);
+        if let Some(limits) = self.lifted_limits(choice, demand, candidates) {
+            self.collect_candidates(now, opening.service, opening.avoid, limits, candidates);
+            choice = self.settings.placement.choose(demand, candidates, &mut self.random);
+        }
+        match choice {
             Choice::WithinBudget(target) if self.is_granted(now, opening.service, demand, candidates) => {
                 Choice::Target(target)
             }
@@ -170,6 +184,19 @@
         }
     }
 
+    /// Limits to place a flow with that has no free slot within the limits of ramps; none if it
+    /// need not be placed again. Those limits must not refuse what targets could serve.
+    fn lifted_limits(&self, choice: Choice, demand: &Demand, candidates: &[Candidate]) -> Option<Limits> {
+        let all_limited = self.are_all_limited(candidates);
+        match choice {
+            _ if self.ramping_targets() == 0 => None,
+            Choice::Target(_) => None,
+            _ if all_limited => Some(Limits::Lifted),
+            Choice::WaitTooLong { .. } if !demand.is_late => Some(Limits::TrialsOnly),
+            _ => None,
+        }
+    }
+
     fn place_on(&mut self, now: Time, opening: &Opening, index: usize, is_idle: bool) -> Verdict {
         let Some(target) = self.catalog.target(index) else {
             return Verdict::Defer(Deferral::Targets);
@@ -272,7 +299,7 @@
 
     /// Targets that new flows of a service are placed on: those of the cell, or all if the
     /// cell has none or they are not listed yet.
-    fn cell_targets(&self, service: usize) -> &[usize] {
+    pub(super) fn cell_targets(&self, service: usize) -> &[usize] {
         match self.cell_targets.get(service) {
             Some(cell_targets) if !cell_targets.is_empty() => cell_targets,
             _ => self.catalog.service_targets(service),
@@ -284,6 +311,7 @@
         now: Time,
         service: usize,
         avoid: Option<usize>,
+        limits: Limits,
         candidates: &mut Vec<Candidate>,
     ) {
         candidates.clear();
@@ -296,7 +324,9 @@
             if !may_use || Some(index) == avoid {
                 continue;
             }
-            candidates.push(self.candidate(now, index, target, unreported_flows));
+            if let Some(slots) = self.ramp_slots(index, target.record.entry.slots as f32, limits) {
+                candidates.push(Candidate { slots, ..self.candidate(now, index, target, unreported_flows) });
+            }
         }
     }
 
@@ -321,11 +351,12 @@
             self.unreachable.iter().any(|(zone, since)| *zone == entry.zone && last_answer <= *since);
         Candidate {
             target: index,
-            slots: entry.slots as f32,
+            // Requests on open flows cannot go elsewhere, so one of them may always run.
+            slots: self.ramp.limit(index, entry.slots as f32).max(1.0),
             running: self.loads.running(index) as f32 + unreported_flows,
             flows: self.loads.flows(index) as f32 + unreported_flows,
             slowness: self.loads.slowness(index, target.service),
-            is_warming_up: now < target.warmed_up_at,
+            is_warming_up: self.is_warming_up(now, index, target),
             is_same_zone: entry.zone == self.settings.zone,
             is_ejected: is_unreachable || self.outliers.ejects(index, now),
         }
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -138,6 +138,9 @@
                     return;
                 };
                 let activity = flow.activity;
+                if activity.is_running() && packet.kind == Kind::Abort {
+                    self.ramp.record_failure(target, now);
+                }
                 if activity == Activity::Opening {
                     // Its request went to another instance, which still counts it.
                     self.announce_end(key);
@@ -230,6 +233,9 @@
         self.loads.remove(counted, former);
         self.loads.add(counted, Activity::Idle);
         self.pacing.record_end(counted);
+        if counted == target {
+            self.record_answer_time(target, service, time_ms, now);
+        }
         if is_sample {
             self.loads.sample(target, service, time_ms, now);
         }
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -11,6 +11,7 @@
         gossip::{self, KnownState, Load, Report, Snapshot, Update},
         load,
         peers::Peers,
+        ramp::Start,
         revision::Revision,
     },
     time::Time,
@@ -142,7 +143,7 @@
         let Evacuation { zone, is_active, revision, .. } = evacuation.clone();
         if self.catalog.apply_evacuation(evacuation) {
             if !is_active {
-                self.suspect_zone(&zone, now);
+                self.return_zone(&zone, now);
             }
             self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
         }
@@ -155,7 +156,7 @@
         }
         let revision = self.catalog.target_revision();
         for zone in self.catalog.end_lost_evacuations() {
-            self.suspect_zone(&zone, now);
+            self.return_zone(&zone, now);
             self.notices.push(Notice::EvacuationChanged { zone, is_active: false, revision });
         }
     }
@@ -181,6 +182,8 @@
                 self.loads.reset(index);
                 self.outliers.reset(index);
                 self.start_cold(now, index);
+                self.update_ejected(index, now);
+                self.start_ramp(index, Start::Fresh, now);
             }
         }
         // The first reading has its own log line instead of one for each target.
@@ -371,6 +374,8 @@
             if load.is_responsive {
                 self.outliers.record_peer_answer(target, now);
             }
+            self.ramp.record_peer(target, Peers::key(sender), load.failures, now);
+            self.update_ejected(target, now);
         }
         for key in &report.moved {
             self.remove_moved(*key, now);
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -179,6 +179,18 @@
         /// Whether its flows are refused.
         is_evacuated: bool,
     },
+    /// A target that has started or recovered gets few requests until it keeps up.
+    RampStarted {
+        /// Target's name.
+        target: Arc<str>,
+    },
+    /// A target has kept up with as many requests as it has slots.
+    RampEnded {
+        /// Target's name.
+        target: Arc<str>,
+        /// Time since the start of the ramp, in milliseconds.
+        duration_ms: u64,
+    },
     /// The store has returned from a backup.
     EraBegan {
         /// New era.
