--- a/src/relay/forwarder/pace.rs
+++ b/src/relay/forwarder/pace.rs
@@ -136,12 +136,19 @@
                 && !self.outliers.ejects(*index, now)
                 && self.catalog.target(*index).is_some_and(|target| {
                     target.record.state == State::Ready
+                        && self.needs_trial(now, *index, target)
                         && self.catalog.takes_new(target)
                         && self.admits_cold(now, *index, target)
                 })
         })
     }
 
+    /// Whether a target is to be tried although others are the better choice. During its stated
+    /// warm-up time it is known to be slower, and placement uses it when it is needed.
+    fn needs_trial(&self, now: Time, index: usize, target: &Target) -> bool {
+        now >= target.warmed_up_at || self.ramp.limit(index, target.record.entry.slots as f32) < 1.0
+    }
+
     /// Number of targets that have a ramp.
     pub fn ramping_targets(&self) -> usize {
         self.ramp.active()
--- a/src/relay/ramp.rs
+++ b/src/relay/ramp.rs
@@ -19,7 +19,9 @@
 falls of the failures that peers report count as failures and answers too. So the limit needs
 no message of its own.
 
-A limit below one means that the target gets single trials only. Trials go on at intervals of
+Slow answers do not decrease the limit below one: the target serves, and placement knows its
+service time. A limit below one means that it fails, and that it gets single trials only, until
+it answers. Trials go on at intervals of
 at most [`MAX_TRIAL_INTERVAL_MS`], so that a target that is well again is found.
 
 # Example
@@ -75,8 +77,8 @@
 /// show that the target bears a much higher one.
 const MAX_GROWTH_SHARE: f32 = 0.5;
 
-/// Factor on the limit with each slow answer. Some requests take long at any target, so that
-/// it is milder than with a failure.
+/// Factor on the limit with each slow answer, down to one. Some requests take long at any
+/// target, so that it is milder than with a failure.
 const SLOW_DECREASE: f32 = 0.75;
 
 /// Factor on the limit with each failure.
@@ -107,6 +109,8 @@
     limit: f32,
     started: Time,
     last_failure: Option<Time>,
+    /// Consecutive slow answers.
+    slow_answers: u32,
     /// When this instance last sent a request.
     last_use: Time,
     /// Failures in the last report of each peer, unless zero.
@@ -138,8 +142,14 @@
             estimate.limit = if start == Start::Fresh { limit } else { estimate.limit.min(limit) };
             return false;
         }
-        let estimate =
-            Estimate { limit, started: now, last_failure: None, last_use: now, peer_failures: Vec::new() };
+        let estimate = Estimate {
+            limit,
+            started: now,
+            last_failure: None,
+            slow_answers: 0,
+            last_use: now,
+            peer_failures: Vec::new(),
+        };
         self.estimates.insert(target, estimate);
         true
     }
@@ -174,7 +184,11 @@
         };
         let ratio = time_ms as f32 / expected_ms.max(1.0);
         if ratio >= SLOW_FACTOR {
-            estimate.limit = (estimate.limit * SLOW_DECREASE).max(MIN_LIMIT);
+            estimate.slow_answers += 1;
+            estimate.limit = match estimate.limit < 1.0 {
+                true => (2.0 * estimate.limit).min(1.0),
+                false => (estimate.limit * SLOW_DECREASE).max(1.0),
+            };
             return;
         }
         // The request may be from before the failure.
@@ -182,6 +196,7 @@
         if !(ERROR_FACTOR..=IN_TIME_FACTOR).contains(&ratio) || is_older {
             return;
         }
+        estimate.slow_answers = 0;
         estimate.limit += match estimate.limit < 1.0 {
             true => estimate.limit,
             false => (GROWTH * instances as f32).min(MAX_GROWTH_SHARE * estimate.limit),
@@ -231,7 +246,9 @@
     /// Whether a target is due for a trial by this instance, one of `instances` that take turns.
     pub fn is_trial_due(&self, target: usize, instances: usize, now: Time) -> bool {
         self.estimates.get(&target).is_some_and(|estimate| {
-            let interval_ms = (TRIAL_INTERVAL_MS as f32 / estimate.limit) as u64;
+            // A slow trial may come too late for its caller.
+            let slow = (1 << estimate.slow_answers.min(2)) as f32;
+            let interval_ms = (TRIAL_INTERVAL_MS as f32 * slow.max(1.0 / estimate.limit)) as u64;
             let interval_ms = interval_ms.clamp(TRIAL_INTERVAL_MS, MAX_TRIAL_INTERVAL_MS);
             now.since(estimate.last_use) >= interval_ms * instances as u64
         })
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -10,7 +10,7 @@
 
 use ragwortlb::{
     relay::{
-        Class, Entry, Kind, Packet, Plan, Route, Token, WeightedService,
+        Class, Entry, Kind, Packet, Plan, Route, ServicePlan, Token, WeightedService,
         catalog::{Record, State},
         forwarder::{Forwarder, Settings, Verdict},
     },
@@ -118,6 +118,7 @@
     Open { request: usize, port: u16, copy: u32 },
     Accepted { request: usize, port: u16, target: usize, token: u32 },
     Refused { request: usize, port: u16 },
+    Broken { request: usize, port: u16 },
     GiveUp { request: usize, port: u16 },
     Data { request: usize, port: u16 },
     Work { request: usize, port: u16, target: usize },
@@ -130,6 +131,13 @@
 
 #[derive(Clone, Debug, Default)]
 struct SimTarget {
+    /// Until when its work takes `slowness` times as long.
+    slow_until: u64,
+    slowness: f64,
+    /// Share of its requests that end in an error, after their work.
+    failing_share: f64,
+    /// Whether it neither accepts flows nor answers requests.
+    is_down: bool,
     running: usize,
     queue: VecDeque<(usize, u16)>,
 }
@@ -159,6 +167,8 @@
     pub refusals: u64,
     /// Whether each packet goes to another instance, whatever its flow.
     pub is_sprayed: bool,
+    /// Latest store revision.
+    revision: u64,
     loads: Vec<Load>,
     tallies: Vec<Tally>,
     slots: usize,
@@ -206,6 +216,7 @@
             placed: vec![0; targets],
             refusals: 0,
             is_sprayed: false,
+            revision: 1,
             tallies: vec![Tally::default(); loads.len()],
             loads,
             slots: slots as usize,
@@ -311,6 +322,45 @@
         earned / total
     }
 
+    /// Adopts a plan with a warm-up time on all instances, which enables ramps.
+    pub fn set_warm_up(&mut self, warm_up_ms: u64) {
+        let service = ServicePlan { name: "matching".into(), warm_up_ms, warm_up_per_s: 0.0 };
+        let plan = Plan { version: 2, services: vec![service], ..plan(&self.loads) };
+        for forwarder in &mut self.forwarders {
+            forwarder.adopt(plan.clone());
+        }
+    }
+
+    /// Starts a new incarnation of a target, whose work takes `slowness` times as long for a
+    /// time.
+    pub fn restart_target(&mut self, index: usize, slow_ms: u64, slowness: f64) {
+        self.slow_target(index, slow_ms, slowness);
+        let now = Time(self.now);
+        let entry = Entry { born_ms: self.now, warm_up_ms: slow_ms, ..entry(index, self.slots as u32) };
+        self.revision += 1;
+        let revision = self.revision.into();
+        for forwarder in &mut self.forwarders {
+            forwarder.apply(Record { entry: entry.clone(), state: State::Ready, revision }, now);
+            forwarder.advance(revision, now);
+        }
+    }
+
+    /// Lets the work of a target take `slowness` times as long for a time.
+    pub fn slow_target(&mut self, index: usize, slow_ms: u64, slowness: f64) {
+        let target = &mut self.sim_targets[index];
+        (target.slow_until, target.slowness) = (self.now + slow_ms, slowness);
+    }
+
+    /// Lets a share of the requests to a target end in an error.
+    pub fn set_failing_share(&mut self, index: usize, failing_share: f64) {
+        self.sim_targets[index].failing_share = failing_share;
+    }
+
+    /// Sets whether a target neither accepts flows nor answers requests.
+    pub fn set_down(&mut self, index: usize, is_down: bool) {
+        self.sim_targets[index].is_down = is_down;
+    }
+
     /// Restarts all instances; they know the peers registered in the store.
     pub fn restart(&mut self) {
         for index in 0..self.forwarders.len() {
@@ -369,6 +419,10 @@
             Event::Accepted { request, port, target, token } => {
                 self.accepted(request, port, target, Token(token));
             }
+            Event::Broken { request, port } => {
+                self.end(request, port, Kind::Abort);
+                self.refused(request, port);
+            }
             Event::Refused { request, port } | Event::GiveUp { request, port } => {
                 self.refused(request, port);
             }
@@ -513,7 +567,9 @@
             return self.act_on_request(instance, request, packet, arrived, verdict);
         }
         match verdict {
-            Verdict::Forward(destination) if !self.dead[destination.target] => {
+            Verdict::Forward(destination)
+                if !self.dead[destination.target] && !self.sim_targets[destination.target].is_down =>
+            {
                 let event =
                     Event::Accepted { request, port, target: destination.target, token: destination.token.0 };
                 self.after(INTERNAL_LATENCY_MS + CLIENT_LATENCY_MS, event);
@@ -570,8 +626,7 @@
         let sim_target = &mut self.sim_targets[target];
         if sim_target.running < self.slots {
             sim_target.running += 1;
-            let work_ms = self.requests[request].work_ms.round() as u64;
-            self.after(work_ms, Event::Done { request, port, target });
+            self.start_work(request, port, target);
         } else if sim_target.queue.len() < TARGET_QUEUE {
             sim_target.queue.push_back((request, port));
         } else {
@@ -579,13 +634,22 @@
         }
     }
 
+    fn start_work(&mut self, request: usize, port: u16, target: usize) {
+        let SimTarget { slow_until, slowness, .. } = self.sim_targets[target];
+        let factor = if self.now < slow_until { slowness } else { 1.0 };
+        let work_ms = (self.requests[request].work_ms * factor).round() as u64;
+        self.after(work_ms, Event::Done { request, port, target });
+    }
+
     fn done(&mut self, request: usize, port: u16, target: usize) {
-        self.after(CLIENT_LATENCY_MS, Event::Answered { request, port, shed: false });
+        let SimTarget { failing_share, is_down, .. } = self.sim_targets[target];
+        if failing_share > 0.0 && self.random.random::<f64>() < failing_share {
+            self.after(CLIENT_LATENCY_MS, Event::Broken { request, port });
+        } else if !is_down {
+            self.after(CLIENT_LATENCY_MS, Event::Answered { request, port, shed: false });
+        }
         match self.sim_targets[target].queue.pop_front() {
-            Some((next, port)) => {
-                let work_ms = self.requests[next].work_ms.round() as u64;
-                self.after(work_ms, Event::Done { request: next, port, target });
-            }
+            Some((next, port)) => self.start_work(next, port, target),
             None => self.sim_targets[target].running -= 1,
         }
     }
@@ -613,12 +677,16 @@
     }
 
     fn close(&mut self, request: usize, port: u16) {
+        self.end(request, port, Kind::Close);
+    }
+
+    fn end(&mut self, request: usize, port: u16, kind: Kind) {
         let instance = self.instance(request);
         if self.frozen[instance] || self.requests[request].client.port() != port {
             return;
         }
         self.requests[request].is_committed = false;
-        let packet = self.packet(request, Kind::Close);
+        let packet = self.packet(request, kind);
         self.forwarders[instance].receive(Time(self.now), &packet);
     }
 
