--- a/src/relay.rs
+++ b/src/relay.rs
@@ -25,6 +25,7 @@
 | [`placement`] | choice of a target for a new flow, or refusal |
 | [`stall`] | resets of open flows whose target no longer answers |
 | [`warm_up`] | limit of the requests that cold targets get from all instances |
+| [`ramp`] | ramp-up of targets that have started or recovered, from how they answer |
 | [`evacuation`] | availability zones whose targets get no new flows |
 | [`outlier`] | ejection of targets that do not answer |
 | [`gossip`] | messages between instances and their encoding |
@@ -65,6 +66,7 @@
 pub mod pacing;
 pub mod peers;
 pub mod placement;
+pub mod ramp;
 pub mod report_interval;
 pub mod revision;
 pub mod stall;
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -11,6 +11,7 @@
         gossip::{self, KnownState, Load, Report, Snapshot, Update},
         load,
         peers::Peers,
+        ramp::Start,
         revision::Revision,
     },
     time::Time,
@@ -146,7 +147,7 @@
         let Evacuation { zone, is_active, revision, .. } = evacuation.clone();
         if self.catalog.apply_evacuation(evacuation) {
             if !is_active {
-                self.suspect_zone(&zone, now);
+                self.return_zone(&zone, now);
             }
             self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
         }
@@ -168,7 +169,7 @@
         }
         for Evacuation { zone, is_active, revision, .. } in self.catalog.settle_evacuations() {
             if !is_active {
-                self.suspect_zone(&zone, now);
+                self.return_zone(&zone, now);
             }
             self.notices.push(Notice::EvacuationChanged { zone, is_active, revision });
         }
@@ -196,6 +197,8 @@
                 self.outliers.reset(index);
                 self.stalls.reset(index);
                 self.start_cold(now, index);
+                self.update_ejected(index, now);
+                self.start_ramp(index, Start::Fresh, now);
             }
         }
         // The first reading has its own log line instead of one for each target.
@@ -402,6 +405,8 @@
             if was_ejected && !self.outliers.ejects(target, now) {
                 self.suspect_restart(target, now);
             }
+            self.ramp.record_peer(target, Peers::key(sender), load.failures, now);
+            self.update_ejected(target, now);
         }
         for key in &report.moved {
             self.remove_moved(*key, now);
--- a/tests/relay_eras.rs
+++ b/tests/relay_eras.rs
@@ -455,6 +455,7 @@
                 _ => None,
             });
             let unlisted = catalog.unlisted(&listed.collect::<Vec<_>>(), answer.revision, store_unstable);
+            reading.is_list = true;
             reading.observations = unlisted.into_iter().map(Observation::Record).collect();
             let zones = answer.events.iter().filter_map(|(write, _)| match write {
                 Write::Evacuation { zone, .. } => Some(ZONES[*zone].into()),
--- a/tests/relay_evacuation.rs
+++ b/tests/relay_evacuation.rs
@@ -43,7 +43,7 @@
     let route = |address, priority| Route {
         address,
         shares: vec![WeightedService { service: "booking".into(), weight: 1 }],
-        class: Class { priority, objective_ms: 300, timeout_ms: 2_000 },
+        class: Class { priority, objective_ms: 300, timeout_ms: 2_000, ..Class::default() },
     };
     Plan { version: 1, routes: vec![route(ROUTE, 2), route(URGENT_ROUTE, 1)], ..Plan::default() }
 }
@@ -257,8 +257,7 @@
     let names = ["e-1", "e-2", "e-3"];
     let mut instances: Vec<_> = names.iter().map(|name| forwarder(name, "pa")).collect();
     for (own, instance) in instances.iter_mut().enumerate() {
-        let others: Vec<_> =
-            (0..3).filter(|other| *other != own).map(|other| (names[other], "pa")).collect();
+        let others: Vec<_> = (0..3).filter(|other| *other != own).map(|other| (names[other], "pa")).collect();
         hear(instance, &others, START);
     }
     let reader = instances.iter().position(|instance| instance.is_reader(START)).unwrap();
@@ -444,7 +443,10 @@
     let [other, urgent] = placed;
     println!("{urgent} urgent flows, {other} others");
     // What is refused to the other class is left for a quarter of the slots at least.
-    assert!(urgent_before.is_some_and(|before| urgent >= before + 4), "{urgent} urgent flows, {other} others");
+    assert!(
+        urgent_before.is_some_and(|before| urgent >= before + 4),
+        "{urgent} urgent flows, {other} others"
+    );
     assert!(urgent + other >= 4 * 4, "the slots of the remaining zone are used");
 }
 
--- a/tests/relay_warm_up.rs
+++ b/tests/relay_warm_up.rs
@@ -103,7 +103,7 @@
     let route = Route {
         address: ROUTE,
         shares: vec![WeightedService { service: "booking".into(), weight: 1 }],
-        class: Class { priority: 1, objective_ms: 300, timeout_ms: 2_500 },
+        class: Class { priority: 1, objective_ms: 300, timeout_ms: 2_500, ..Class::default() },
     };
     let service = ServicePlan { name: "booking".into(), warm_up_ms: 20_000, warm_up_per_s: per_s };
     forwarder.adopt(Plan { version: 1, routes: vec![route], services: vec![service], ..Plan::default() });
@@ -312,7 +312,10 @@
         let (least, most) = (shares.clone().fold(f32::MAX, f32::min), shares.fold(0.0, f32::max));
         println!(
             "{instances} instances, {cold} of {targets} targets cold: {:.0}% of warmupPerS, {:.0}% to {:.0}%, peak {}",
-            100.0 * mean, 100.0 * least, 100.0 * most, fleet.peak(),
+            100.0 * mean,
+            100.0 * least,
+            100.0 * most,
+            fleet.peak(),
         );
         assert!(least >= 0.3, "a target got {least} of what it bears");
         assert!(fleet.peak() as f32 <= 42.5);
