Answer the flows in the tests of cold targets

The fleet in relay_warm_up closed each flow before its answer and gave targets 4,000 slots. Ramps take a close before the answer for a failure and limit targets to a few requests at a time, so the cold targets got nothing while others had thousands of free slots. Flows are now answered after 40 ms, targets have 4 slots, and the demand exceeds what the others serve without a wait.

--- a/tests/relay_warm_up.rs
+++ b/tests/relay_warm_up.rs
@@ -19,11 +19,16 @@
 
 const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 const STEP_MS: u64 = 10;
+/// Time from a new flow to the answer to its first request.
+const ANSWER_MS: u64 = 40;
 /// When the cold targets start: after the start-up time of the instances.
 const COLD_AT: u64 = 3_000;
 /// Time without messages after which members of any fleet here are not live any more.
 const CUT_AT: u64 = 5_000;
 const END: u64 = 9_000;
+/// New flows of an instance in a step that are more than the other targets serve without a wait,
+/// in any fleet here.
+const PLENTY: usize = 12;
 
 #[derive(Clone, Copy, Debug)]
 enum Cut {
@@ -54,10 +59,19 @@
     arrived: Option<u64>,
 }
 
+/// New flow whose first request is not answered yet.
+struct Opened {
+    client: SocketAddrV4,
+    destination: Destination,
+    answered: u64,
+    goes_on: bool,
+}
+
 struct Fleet {
     now: u64,
     forwarders: Vec<Forwarder>,
     is_running: Vec<bool>,
+    opened: Vec<Vec<Opened>>,
     flows: Vec<Vec<Flow>>,
     cold: usize,
     clients: u32,
@@ -76,7 +90,7 @@
         service: "booking".into(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 3, 0, index as u8), 8080),
         zone: ["pa", "ct", "me"][index % 3].into(),
-        slots: 4_000,
+        slots: 4,
         leaving: false,
         warm_up_ms,
         heartbeat: revision,
@@ -121,6 +135,7 @@
             now: 1,
             forwarders,
             is_running: vec![true; instances],
+            opened: (0..instances).map(|_| Vec::new()).collect(),
             flows: (0..instances).map(|_| Vec::new()).collect(),
             cold,
             clients: 0,
@@ -182,15 +197,12 @@
                 continue;
             };
             self.count(destination.target);
-            if goes_on && destination.target < self.cold {
-                let accepted = packet(client, destination.token, Kind::Data { request: false, acked: 1 });
-                self.forwarders[index].receive(now, &accepted);
-                let flow = Flow { client, destination, acked: 1, next: self.now + 1_000, arrived: None };
-                self.flows[index].push(flow);
-            } else {
-                self.forwarders[index].receive(now, &packet(client, destination.token, Kind::Close));
-            }
+            let request = packet(client, destination.token, Kind::Data { request: true, acked: 1 });
+            self.forwarders[index].receive(now, &request);
+            let goes_on = goes_on && destination.target < self.cold;
+            self.opened[index].push(Opened { client, destination, answered: self.now + ANSWER_MS, goes_on });
         }
+        self.answer(index);
         let mut flows = std::mem::take(&mut self.flows[index]);
         flows.retain_mut(|flow| {
             if self.now < flow.next {
@@ -220,6 +232,24 @@
         self.flows[index].append(&mut flows);
     }
 
+    /// Acknowledges the answers that are due. Flows that do not go on are closed.
+    fn answer(&mut self, index: usize) {
+        let now = Time(self.now);
+        let due: Vec<_> = self.opened[index].extract_if(.., |opened| opened.answered <= self.now).collect();
+        for Opened { client, destination, goes_on, .. } in due {
+            let acked = 1_201;
+            let answered = packet(client, destination.token, Kind::Data { request: false, acked });
+            self.forwarders[index].receive(now, &answered);
+            if goes_on {
+                let next = self.now + 1_000 - ANSWER_MS;
+                let flow = Flow { client, destination, acked, next, arrived: None };
+                self.flows[index].push(flow);
+            } else {
+                self.forwarders[index].receive(now, &packet(client, destination.token, Kind::Close));
+            }
+        }
+    }
+
     fn start_cold(&mut self) {
         for forwarder in &mut self.forwarders {
             for target in 0..self.cold {
@@ -305,7 +335,7 @@
         let mut fleet = Fleet::new(instances, targets, cold, per_s, settings);
         fleet.run(COLD_AT - STEP_MS, Cut::None, 0, false);
         fleet.start_cold();
-        fleet.run(END, Cut::None, 4, false);
+        fleet.run(END, Cut::None, PLENTY, false);
         let time_s = (END - COLD_AT) as f32 / 1_000.0;
         let shares = fleet.requests.iter().map(|times| times.len() as f32 / time_s / per_s);
         let mean = shares.clone().sum::<f32>() / cold as f32;
@@ -330,7 +360,7 @@
     let mut fleet = Fleet::new(3, 6, 2, 25.0, settings);
     fleet.run(COLD_AT - STEP_MS, Cut::None, 0, true);
     fleet.start_cold();
-    fleet.run(END, Cut::None, 4, true);
+    fleet.run(END, Cut::None, PLENTY, true);
     println!("{} requests waited, {} expired", fleet.waited, fleet.expired);
     assert!(fleet.waited > 20);
     assert_eq!(fleet.expired, 0);
