Count repeated requests also on flows that the fabric has moved

The record of a moved flow is idle, so that a client's retransmission started a new request and no sign of a stalled target was left. Requests of several packets leave no signs now, as a later packet looks like a retransmission.

--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -79,6 +79,11 @@
     pub activity: Activity,
     /// When its opening packet was forwarded, or its current request was.
     pub started: Time,
+    /// When the first packet of its current request arrived; retransmissions do not change it.
+    pub requested: Time,
+    /// Whether its current request takes several packets, so that a later one is not a
+    /// retransmission.
+    pub spans_packets: bool,
     /// When it last carried an opening packet or a request.
     pub last_active: Time,
     /// Sequence number up to which the client had acknowledged the target's bytes when it
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -210,6 +210,8 @@
                 target: index,
                 activity: Activity::Opening,
                 started: now,
+                requested: now,
+                spans_packets: false,
                 last_active: now,
                 acked: 0,
                 answers: 0,
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -88,13 +88,14 @@
             return false;
         }
         let key = FlowKey::of(packet.client, packet.address);
-        let repeated = self.flows.get(key).filter(|flow| {
-            flow.activity == Activity::Running
-                && !flow.is_answered_by(acked)
-                && now.since(flow.started) >= stall::RETRANSMIT_MS
-        });
-        if let Some(started) = repeated.map(|flow| flow.started) {
-            self.stalls.record_repeated(index, key, started, now);
+        let same_request = |flow: &&mut Flow| flow.activity != Activity::Opening && flow.acked == acked;
+        if let Some(flow) = self.flows.get_mut(key).filter(same_request) {
+            let is_early = now.since(flow.requested) < stall::RETRANSMIT_MS;
+            flow.spans_packets |= is_early;
+            if !flow.spans_packets {
+                let started = flow.requested;
+                self.stalls.record_repeated(index, key, started, now);
+            }
         }
         self.is_stalled(now, index) || self.is_cut_off(now, index)
     }
@@ -177,7 +178,9 @@
                         self.record_answer(now, key, target, service);
                     }
                     Activity::Idle if flow.answers == 0 && flow.is_answered_by(acked) => {
-                        self.note_followed(flow.is_own, true);
+                        let (is_own, requested) = (flow.is_own, flow.requested);
+                        self.note_followed(is_own, true);
+                        self.stalls.record_answer(target, requested);
                     }
                     Activity::Running | Activity::Idle => {}
                 }
@@ -243,8 +246,18 @@
             return;
         }
         let former = std::mem::replace(&mut flow.activity, Activity::Running);
+        // The acknowledgement of the former answer may come with the next request.
+        let answered = flow.is_answered_by(acked).then_some(flow.requested);
+        let is_repeated = flow.answers == 0 && flow.acked == acked;
+        if !is_repeated {
+            flow.requested = now;
+            flow.spans_packets = false;
+        }
         (flow.started, flow.acked, flow.is_sample) = (now, acked, is_sample);
         let target = flow.target;
+        if let Some(requested) = answered {
+            self.stalls.record_answer(target, requested);
+        }
         let is_second = flow.is_own && flow.answers == 1;
         self.loads.remove(target, former);
         self.loads.add(target, Activity::Running);
@@ -272,7 +285,7 @@
         let former = std::mem::replace(&mut flow.activity, Activity::Idle);
         flow.answers += 1;
         flow.expires = flow.last_active + IDLE_COUNTED_MS;
-        let (counted, started) = (flow.target, flow.started);
+        let (counted, started, requested) = (flow.target, flow.started, flow.requested);
         let time_ms = now.since(started);
         let is_sample = flow.is_sample && flow.target == target;
         let (is_first, is_own) = (flow.answers == 1, flow.is_own);
@@ -292,7 +305,7 @@
             self.loads.sample(target, service, time_ms, now);
         }
         self.note_answer(target, now);
-        self.stalls.record_answer(target, started);
+        self.stalls.record_answer(target, requested);
     }
 
     /// Tells peers with the next report that this instance counts a flow from now on.
@@ -354,6 +367,8 @@
         target,
         activity: Activity::Running,
         started: now,
+        requested: now,
+        spans_packets: false,
         last_active: now,
         acked,
         answers: 0,
