Ignore a peer's evacuation that has ended before a revision that is complete here

A late update brought an evacuation back whose key was removed before the revision up to which this instance had read the store, and nothing ended it again.

--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -156,6 +156,12 @@
     /// Applies the state of a zone's evacuation at a peer. The peer may have read a restored
     /// key without knowing its removal.
     fn apply_peer_evacuation(&mut self, evacuation: Evacuation, now: Time) {
+        let (revision, complete) = (evacuation.revision, self.catalog.target_revision());
+        let is_covered = revision.era == complete.era && revision <= complete;
+        // It has ended since, or it would be known.
+        if evacuation.is_active && is_covered && !self.catalog.evacuations().contains(&evacuation.zone) {
+            return;
+        }
         self.apply_evacuation(self.catalog.evacuations().listed(evacuation), now);
     }
 
