--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -161,7 +161,7 @@
     pub is_list: bool,
     /// Plan of the sender. A receiver with an older plan has to fetch it.
     pub plan_mark: Mark,
-    /// Evacuations that the sender knows, at most [`MAX_EVACUATIONS_BYTES`].
+    /// Evacuations that the sender knows, as many as fit into a datagram.
     pub evacuations: Vec<Evacuation>,
     /// Changed records.
     #[serde(rename = "rows")]
