--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -18,16 +18,14 @@
 [`REREGISTRATION_MS`].
 */
 
-use std::{
-    collections::{HashMap, HashSet},
-    net::SocketAddrV4,
-    sync::Arc,
-};
+mod endings;
+mod record;
 
-use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, net::SocketAddrV4, sync::Arc};
 
+pub use self::record::{Mark, Record, State, Target};
 use super::{
-    Class, Entry, Plan, PlanId, Token,
+    Class, Plan, PlanId, Token,
     cells::Cell,
     evacuation::{Evacuation, Evacuations},
     revision::Revision,
@@ -46,84 +44,6 @@
 /// Ranges of skipped revisions that are kept; older ones are merged.
 const MAX_SKIPPED: usize = 8;
 
-/// State of a target, in the order in which it may change at one revision.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Deserialize, Serialize)]
-pub enum State {
-    /// Gets new flows.
-    Ready,
-    /// Draining: keeps its flows, gets no new ones.
-    Leaving,
-    /// Its entry expired while the store was unavailable; still gets new flows.
-    Missing,
-    /// Has ended.
-    Gone,
-}
-
-/// Latest plan that was written up to a store revision.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct Mark {
-    /// Plan.
-    pub plan: PlanId,
-    /// Store revision up to which no later plan was written.
-    pub revision: Revision,
-}
-
-/// State of one target at a store revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
-pub struct Record {
-    /// Last entry.
-    pub entry: Entry,
-    /// State.
-    pub state: State,
-    /// Store revision.
-    pub revision: Revision,
-}
-
-/// Target in the catalog.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// Latest record.
-    pub record: Record,
-    /// Token of its packets.
-    pub token: Token,
-    /// Index of its service in the catalog.
-    pub service: usize,
-    /// When this instance saw its state change.
-    pub since: Time,
-    /// End of its warm-up.
-    pub warmed_up_at: Time,
-}
-
-impl Target {
-    /// Replaces the content of a record of a later era by what is known if its entry is not
-    /// newer, as the store has then restored it from a backup.
-    fn reconcile(&self, record: Record) -> Record {
-        let age = |entry: &Entry| (entry.born_ms, entry.heartbeat);
-        let is_restored =
-            record.revision.era > self.record.revision.era && age(&record.entry) <= age(&self.record.entry);
-        if !is_restored {
-            return record;
-        }
-        let state = record.state.max(self.record.state);
-        Record { entry: self.record.entry.clone(), state, revision: record.revision }
-    }
-
-    /// Whether it is draining, also if its entry has expired or was lost since.
-    fn is_draining(&self) -> bool {
-        self.record.state == State::Leaving || self.record.entry.leaving
-    }
-
-    /// Order of targets by their start, the oldest first and those of unknown age last. The
-    /// name makes it the same on every instance.
-    fn seniority(&self) -> (bool, u64, &str) {
-        let entry = &self.record.entry;
-        (entry.born_ms == 0, entry.born_ms, &entry.name)
-    }
-}
-
 /// Where new flows of an address are placed.
 #[derive(Clone, Debug)]
 pub struct RouteEntry {
@@ -494,54 +414,6 @@
         }
     }
 
-    /// Records that end the targets which a complete reading at a revision does not list.
-    /// They are gone, or missing if the store was unavailable or has lost their entries with a
-    /// backup.
-    pub fn unlisted(&self, listed: &[Arc<str>], revision: Revision, store_unstable: bool) -> Vec<Record> {
-        let listed: HashSet<&Arc<str>> = listed.iter().collect();
-        self.records()
-            .filter(|record| record.revision < revision && !listed.contains(&record.entry.name))
-            .map(|record| (record, ended_state(record, revision, store_unstable)))
-            .filter(|(record, state)| record.state < *state)
-            .map(|(record, state)| Record { entry: record.entry.clone(), state, revision })
-            .collect()
-    }
-
-    /// Record that ends a target by name at a revision, or marks it missing if the store
-    /// was unavailable or has lost its entry with a backup; none if the name is not known.
-    pub fn removal(&self, name: &str, revision: Revision, store_unstable: bool) -> Option<Record> {
-        let target = self.target(*self.by_name.get(name)?)?;
-        let state = ended_state(&target.record, revision, store_unstable);
-        Some(Record { entry: target.record.entry.clone(), state, revision })
-    }
-
-    /// Records that end the targets still missing [`REREGISTRATION_MS`] after the store
-    /// `recovered`.
-    pub fn unrecovered(&self, recovered: Time, now: Time) -> Vec<Record> {
-        if now.since(recovered) < REREGISTRATION_MS {
-            return Vec::new();
-        }
-        self.records()
-            .filter(|record| record.state == State::Missing)
-            .map(|record| Record { state: State::Gone, ..record.clone() })
-            .collect()
-    }
-
-    /// Records that end the targets which have not registered again although this instance has
-    /// been told of every change since `synced_since`: those that are missing, and those of an
-    /// earlier era of the store, which began here at `era_began`.
-    pub fn overdue(&self, synced_since: Time, era_began: Time, now: Time) -> Vec<Record> {
-        let era = self.target_revision.era;
-        let is_due = |since: Time| now.since(since.max(synced_since)) >= REREGISTRATION_MS + NOTIFICATION_MS;
-        let is_overdue = |target: &&Target| match target.record.state {
-            State::Missing => is_due(target.since),
-            State::Gone => false,
-            State::Ready | State::Leaving => target.record.revision.era < era && is_due(era_began),
-        };
-        let overdue = self.targets.iter().flatten().filter(is_overdue);
-        overdue.map(|target| Record { state: State::Gone, ..target.record.clone() }).collect()
-    }
-
     /// Whether a service has targets, but all that would get new flows are in evacuated zones.
     pub fn is_evacuated(&self, service: usize) -> bool {
         let targets = self.service_targets(service).iter().filter_map(|index| self.target(*index));
@@ -549,28 +421,6 @@
         running.peek().is_some() && running.all(|target| self.evacuations.contains(&target.record.entry.zone))
     }
 
-    /// Removes targets that have been gone for longer than a flow may live.
-    pub fn forget(&mut self, now: Time, max_flow_lifetime_ms: u64) {
-        let mut is_changed = false;
-        for index in 0..self.targets.len() {
-            let Some(target) = &self.targets[index] else {
-                continue;
-            };
-            if target.record.state != State::Gone || now.since(target.since) <= max_flow_lifetime_ms {
-                continue;
-            }
-            self.forgotten_revision = self.forgotten_revision.max(target.record.revision);
-            let token = target.token;
-            self.by_name.remove(&target.record.entry.name);
-            self.targets[index] = None;
-            self.assign_token(token);
-            is_changed = true;
-        }
-        if is_changed {
-            self.rebuild_lists();
-        }
-    }
-
     /// Gives a token to the oldest of the targets that have it, as that one may have open
     /// flows.
     fn assign_token(&mut self, token: Token) {
@@ -611,10 +461,3 @@
         }
     }
 }
-
-/// State of a target without an entry at a revision. If its last entry is of an earlier era,
-/// the store may have lost a later one with a backup, so the target may still run.
-fn ended_state(known: &Record, revision: Revision, store_unstable: bool) -> State {
-    let may_run = store_unstable || known.revision.era < revision.era;
-    if may_run { State::Missing } else { State::Gone }
-}
