--- a/src/relay/evacuation.rs
+++ b/src/relay/evacuation.rs
@@ -144,6 +144,19 @@
         Some(Evacuation { is_active: false, is_settled: false, revision, ..evacuation.clone() })
     }
 
+    /// Ends of the evacuations that a peer lists neither as active nor as held, although it knows
+    /// all that was read up to a revision of their era.
+    pub fn absent(&self, listed: &[Evacuation], revision: Revision) -> Vec<Evacuation> {
+        let is_listed = |zone: &str| {
+            let mut found = listed.iter().filter(|known| &*known.zone == zone);
+            found.any(|known| (known.is_active || known.is_held()) && known.revision.era == revision.era)
+        };
+        let is_ended = |known: &&Evacuation| {
+            known.revision.era == revision.era && known.revision <= revision && !is_listed(&known.zone)
+        };
+        self.iter().filter(is_ended).filter_map(|known| self.ended(&known.zone, revision)).collect()
+    }
+
     /// Ends of the evacuations that a read of all keys at a revision does not list. Those of
     /// an earlier era are kept: their keys may be lost with a backup.
     pub fn unlisted(&self, listed: &[Arc<str>], revision: Revision) -> Vec<Evacuation> {
--- a/src/relay/flows.rs
+++ b/src/relay/flows.rs
@@ -80,7 +80,8 @@
     /// When its opening packet was forwarded, or its current request was.
     pub started: Time,
     /// When the first packet of its current request arrived; retransmissions do not change it.
-    pub requested: Time,
+    /// None if no request was seen: a later one may have the same acknowledgement.
+    pub requested: Option<Time>,
     /// Whether its current request takes several packets, so that a later one is not a
     /// retransmission.
     pub spans_packets: bool,
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -210,7 +210,7 @@
                 target: index,
                 activity: Activity::Opening,
                 started: now,
-                requested: now,
+                requested: Some(now),
                 spans_packets: false,
                 last_active: now,
                 acked: 0,
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -89,11 +89,11 @@
         }
         let key = FlowKey::of(packet.client, packet.address);
         let same_request = |flow: &&mut Flow| flow.activity != Activity::Opening && flow.acked == acked;
-        if let Some(flow) = self.flows.get_mut(key).filter(same_request) {
-            let is_early = now.since(flow.requested) < stall::RETRANSMIT_MS;
-            flow.spans_packets |= is_early;
+        if let Some(flow) = self.flows.get_mut(key).filter(same_request)
+            && let Some(started) = flow.requested
+        {
+            flow.spans_packets |= now.since(started) < stall::RETRANSMIT_MS;
             if !flow.spans_packets {
-                let started = flow.requested;
                 self.stalls.record_repeated(index, key, started, now);
             }
         }
@@ -166,10 +166,8 @@
                     self.move_detector.record_end(false);
                     self.announce_moved(key);
                     let expires = now + IDLE_COUNTED_MS;
-                    self.insert(
-                        key,
-                        Flow { activity: Activity::Idle, expires, ..unplaced(now, target, acked) },
-                    );
+                    let unplaced = unplaced(now, target, acked);
+                    self.insert(key, Flow { activity: Activity::Idle, expires, requested: None, ..unplaced });
                     return;
                 };
                 match flow.activity {
@@ -180,7 +178,9 @@
                     Activity::Idle if flow.answers == 0 && flow.is_answered_by(acked) => {
                         let (is_own, requested) = (flow.is_own, flow.requested);
                         self.note_followed(is_own, true);
-                        self.stalls.record_answer(target, requested);
+                        if let Some(requested) = requested {
+                            self.stalls.record_answer(target, requested);
+                        }
                     }
                     Activity::Running | Activity::Idle => {}
                 }
@@ -247,10 +247,10 @@
         }
         let former = std::mem::replace(&mut flow.activity, Activity::Running);
         // The acknowledgement of the former answer may come with the next request.
-        let answered = flow.is_answered_by(acked).then_some(flow.requested);
-        let is_repeated = flow.answers == 0 && flow.acked == acked;
+        let answered = flow.requested.filter(|_| flow.is_answered_by(acked));
+        let is_repeated = flow.answers == 0 && flow.acked == acked && flow.requested.is_some();
         if !is_repeated {
-            flow.requested = now;
+            flow.requested = Some(now);
             flow.spans_packets = false;
         }
         (flow.started, flow.acked, flow.is_sample) = (now, acked, is_sample);
@@ -305,7 +305,9 @@
             self.loads.sample(target, service, time_ms, now);
         }
         self.note_answer(target, now);
-        self.stalls.record_answer(target, requested);
+        if let Some(requested) = requested {
+            self.stalls.record_answer(target, requested);
+        }
     }
 
     /// Tells peers with the next report that this instance counts a flow from now on.
@@ -367,7 +369,7 @@
         target,
         activity: Activity::Running,
         started: now,
-        requested: now,
+        requested: Some(now),
         spans_packets: false,
         last_active: now,
         acked,
--- a/src/relay/forwarder/sync.rs
+++ b/src/relay/forwarder/sync.rs
@@ -295,8 +295,8 @@
     /// missing if it is of a later era: they may not have registered again yet.
     pub fn apply_snapshot(&mut self, snapshot: Snapshot, now: Time) {
         self.adopt(snapshot.plan);
-        for evacuation in snapshot.evacuations {
-            self.apply_peer_evacuation(evacuation, now);
+        for evacuation in &snapshot.evacuations {
+            self.apply_peer_evacuation(evacuation.clone(), now);
         }
         for member in snapshot.members.iter().filter(|member| member.name != self.settings.name) {
             self.peers.discover(&member.name, &member.zone, member.address, now);
@@ -305,6 +305,12 @@
         if snapshot.revision.era < before.era {
             return;
         }
+        if snapshot.revision >= before {
+            let ended = self.catalog.evacuations().absent(&snapshot.evacuations, snapshot.revision);
+            for evacuation in ended {
+                self.apply_evacuation(evacuation, now);
+            }
+        }
         let is_later_era = snapshot.revision.era > before.era && before.is_some();
         self.catalog.confirm_plan(snapshot.plan_mark);
         let mut records = snapshot.records;
--- a/tests/relay_eras.rs
+++ b/tests/relay_eras.rs
@@ -257,6 +257,8 @@
     accepted: Keys,
     /// Latest writes of the running targets.
     running: BTreeMap<usize, Value>,
+    /// Starts of targets so far.
+    starts: u64,
     plans_written: u32,
     restored_at: Option<Time>,
     /// Whether a restore begins a new era. Otherwise revisions are bare numbers.
@@ -274,6 +276,7 @@
             store: Store { era: 1, ..Store::default() },
             accepted: Keys::default(),
             running: BTreeMap::new(),
+            starts: 0,
             plans_written: 0,
             restored_at: None,
             has_eras: true,
@@ -312,10 +315,10 @@
                 self.write_plan(version, self.plans_written);
             }
             Step::StartTarget(index) => {
-                // The clock is also the start, which is later at each start.
-                let value = Value { born: self.now.0 + self.store.number(), heartbeat: 1, is_leaving: false };
-                let former = self.running.get(&index).map_or(0, |value| value.born);
-                self.write_target(index, Value { born: value.born.max(former + 1), ..value });
+                // Later at each start, also after a restore and on a clock that stands still.
+                self.starts += 1;
+                let born = self.now.0 + self.starts;
+                self.write_target(index, Value { born, heartbeat: 1, is_leaving: false });
             }
             Step::Heartbeat(index) => {
                 if let Some(value) = self.running.get(&index).copied() {
--- a/tests/relay_pacing.rs
+++ b/tests/relay_pacing.rs
@@ -78,7 +78,7 @@
         target: 0,
         activity,
         started: Time(0),
-        requested: Time(0),
+        requested: None,
         spans_packets: false,
         last_active: Time(0),
         acked: 0,
--- a/tests/relay_stall.rs
+++ b/tests/relay_stall.rs
@@ -324,3 +324,26 @@
 fn switched_off() {
     assert_eq!(Play::run(Fault::ZoneCut, false, true).resets, 0);
 }
+
+/// Guards against broken flows on moved or long idle flows: the acknowledgement of an answer
+/// comes first, and the next request has the same sequence number as it.
+#[test]
+fn acknowledgement_first() {
+    let mut forwarder = forwarder(true, true);
+    let token = Token::of("i-00000000");
+    let packet = |port, kind| {
+        let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port);
+        Packet { client, address: address(), kind, token }
+    };
+    let mut now = 3_000;
+    for (at, request) in [(3_000, false), (4_000, true)] {
+        while now < at {
+            now += STEP_MS;
+            forwarder.tick(Time(now));
+        }
+        for port in 1..=8 {
+            let verdict = forwarder.receive(Time(now), &packet(port, Kind::Data { request, acked: 1_200 }));
+            assert!(matches!(verdict, Verdict::Forward(_)), "{verdict:?}");
+        }
+    }
+}
