--- a/crates/ragwortlbd/src/relay/decisions.rs
+++ b/crates/ragwortlbd/src/relay/decisions.rs
@@ -53,13 +53,13 @@
     );
 }
 
-/// Logs that an open flow was reset, as its target no longer answers, unless the rate limit is
+/// Logs that an open flow was reset, as its target is in a partitioned zone, unless the rate limit is
 /// reached.
 pub(super) fn reset(shared: &Shared, packet: &Packet) {
     if shared.refusals.accept() {
         log::info!(
             client:% = packet.client, address:% = packet.address, token = packet.token.0;
-            "E727 an open flow was reset; its target no longer answers"
+            "E727 an open flow was reset; its target is in a partitioned zone"
         );
     }
 }
--- a/crates/ragwortlbd/src/relay/shared.rs
+++ b/crates/ragwortlbd/src/relay/shared.rs
@@ -122,7 +122,6 @@
             name: settings.name.clone(),
             zone: settings.zone.clone(),
             seed: rand::random(),
-            resets_stalled: settings.resets_stalled,
             warm_up: settings.warm_up,
             max_flow_lifetime_ms: settings.max_flow_lifetime_ms,
             ..forwarder::Settings::default()
@@ -278,7 +277,11 @@
                 "Flows refused as they had no route or no target",
                 counts.refused_unknown.get(),
             ),
-            ("flows_reset", "Open flows reset as their target no longer answers", counts.flows_reset.get()),
+            (
+                "flows_reset",
+                "Open flows reset as their target is in a partitioned zone",
+                counts.flows_reset.get(),
+            ),
             ("packets_dropped", "Packets dropped", counts.dropped.get()),
             ("packets_parked", "Packets that were deferred or queued", counts.deferred.get()),
             ("requests_paced", "Requests on open flows that waited for their target", counts.paced.get()),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,7 +23,7 @@
 | [`mix`] | recent traffic of each service by class |
 | [`pacing`] | when requests on open flows start at a target that is full |
 | [`placement`] | choice of a target for a new flow, or refusal |
-| [`stall`] | resets of open flows whose target no longer answers |
+| [`stall`] | resets of open flows to targets in zones that are cut off |
 | [`warm_up`] | limit of the requests that cold targets get from all instances |
 | [`ramp`] | ramp-up of targets that have started or recovered, from how they answer |
 | [`evacuation`] | availability zones whose targets get no new flows |
--- a/src/relay/forwarder.rs
+++ b/src/relay/forwarder.rs
@@ -84,7 +84,8 @@
     pub seed: u64,
     /// Longest duration of a flow, in milliseconds.
     pub max_flow_lifetime_ms: u64,
-    /// Whether open flows of idempotent requests are reset whose target no longer answers.
+    /// Whether open flows of idempotent requests are reset whose target is in a partitioned zone.
+    /// Off: with repeated requests as the only sign, flows were reset whose target answers.
     pub resets_stalled: bool,
     /// What cold targets may get.
     pub warm_up: warm_up::Settings,
--- a/src/relay/forwarder/opening.rs
+++ b/src/relay/forwarder/opening.rs
@@ -361,7 +361,7 @@
             slowness: self.loads.slowness(index, target.service),
             is_warming_up: self.is_warming_up(now, index, target),
             is_same_zone: entry.zone == self.settings.zone,
-            is_ejected: is_unreachable || self.outliers.ejects(index, now) || self.is_stalled(now, index),
+            is_ejected: is_unreachable || self.outliers.ejects(index, now),
         }
     }
 }
--- a/src/relay/forwarder/request.rs
+++ b/src/relay/forwarder/request.rs
@@ -78,8 +78,8 @@
         !admitted
     }
 
-    /// Whether a packet belongs to a request on an open flow whose target no longer answers, and
-    /// whose client may repeat it.
+    /// Whether a packet belongs to a request on an open flow whose target is in a partitioned zone,
+    /// and whose client may repeat it.
     pub(super) fn is_unanswered(&mut self, now: Time, packet: &Packet, index: usize, class: Class) -> bool {
         let Kind::Data { request: true, acked } = packet.kind else {
             return false;
@@ -97,7 +97,7 @@
                 self.stalls.record_repeated(index, key, started, now);
             }
         }
-        self.is_stalled(now, index) || self.is_cut_off(now, index)
+        self.is_cut_off(now, index)
     }
 
     /// Whether packets may have waited at this instance, so that clients repeat requests that
@@ -106,15 +106,6 @@
         self.resumed.is_some() || now.since(self.lagged_at) < LAG_RECOVERY_MS
     }
 
-    /// Whether a target no longer answers.
-    pub(super) fn is_stalled(&self, now: Time, index: usize) -> bool {
-        self.settings.resets_stalled
-            && self.catalog.target(index).is_some_and(|target| {
-                let mean_ms = self.loads.mean_ms(target.service);
-                self.stalls.is_stalled(index, mean_ms, self.outliers.ejects(index, now), now)
-            })
-    }
-
     /// Whether a target is in a partitioned zone.
     fn is_cut_off(&self, now: Time, index: usize) -> bool {
         let Some(zone) = self.catalog.target(index).map(|target| &target.record.entry.zone) else {
--- a/src/relay/forwarder/verdict.rs
+++ b/src/relay/forwarder/verdict.rs
@@ -98,8 +98,8 @@
     Forward(Destination),
     /// Refuse the flow with a reset; it has not opened yet.
     Refuse(Refusal),
-    /// Reset its open flow: the flow's target no longer answers, and its client may repeat the
-    /// request.
+    /// Reset its open flow: the flow's target is in a partitioned zone, and its client may
+    /// repeat the request.
     Reset,
     /// Drop it.
     Drop(DropReason),
